Add the module skeleton, the message types and the design page

Cause: the repository was empty. The modules, ports and messages have to be fixed before the parts are written. Ruled out: leases renewed in the store, a successor that acts on expiry without the store (two owners are possible), static partitioning of rates, optimistic slot selection; docs/design.md gives the reasons. Change: Maven modules core, daemon, ctl, standin, system-test; result codes; store, engine and peer message types. Conclusion: the parts can be written against these interfaces.

--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/config/Route.kt
@@ -0,0 +1,22 @@
+package fireflyhinge.config
+
+/**
+ * A route from a model name or a service name to upstreams.
+ *
+ * @property service value of [Upstream.service] that serves the route.
+ * @property open true if calls need no key.
+ * @property idempotent whether a call may be sent more than once; plain services only.
+ * @property idempotencyKeyRequired whether a non-idempotent call must carry an `Idempotency-Key` header.
+ * @property costTokens charge of one plain call against the workspace's quota, in tokens.
+ */
+data class Route(
+    val name: String,
+    val kind: RouteKind,
+    val service: String,
+    val open: Boolean = false,
+    val idempotent: Boolean = true,
+    val idempotencyKeyRequired: Boolean = true,
+    val costTokens: Double = 1.0,
+    val changeId: String = "",
+    val deleted: Boolean = false,
+)
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/config/UpstreamRole.kt
@@ -0,0 +1,4 @@
+package fireflyhinge.config
+
+/** Role of an upstream replica. */
+enum class UpstreamRole { PREFILL, DECODE, SERVICE }
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/config/Workspace.kt
@@ -0,0 +1,16 @@
+package fireflyhinge.config
+
+/**
+ * A workspace as the store holds it.
+ *
+ * @property keyHashes lower-case hexadecimal SHA-256 hashes of the granted keys; the keys themselves are never stored.
+ * @property changeId identifies the operator's change that wrote this version, so that a lost reply can be resolved.
+ */
+data class Workspace(
+    val name: String,
+    val template: String,
+    val parameters: WorkspaceParameters = WorkspaceParameters(),
+    val keyHashes: Set<String> = emptySet(),
+    val changeId: String = "",
+    val deleted: Boolean = false,
+)
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/engine/ChatMessage.kt
@@ -0,0 +1,4 @@
+package fireflyhinge.engine
+
+/** One message of a chat request. */
+data class ChatMessage(val role: String, val content: String)
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/engine/HeldRequest.kt
@@ -0,0 +1,4 @@
+package fireflyhinge.engine
+
+/** A request that holds memory at an engine; [ageMillis] is the time since the engine took it. */
+data class HeldRequest(val id: EngineRequestId, val holder: Holder, val ticket: String, val ageMillis: Long)
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/peer/ChargeReply.kt
@@ -0,0 +1,22 @@
+package fireflyhinge.peer
+
+import com.fasterxml.jackson.annotation.JsonTypeInfo
+
+/** Answer of the quota owner. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "type")
+sealed interface ChargeReply {
+    /** Debited; the request may go on after [waitMillis]. A [suspect] must run alone on a replica. */
+    data class Granted(val epoch: Long, val waitMillis: Long, val suspect: Boolean = false) : ChargeReply
+
+    /** Not debited: the tokens are available in [retryAfterMillis]. */
+    data class RateExceeded(val retryAfterMillis: Long) : ChargeReply
+
+    /** Not debited: the request costs more than the bucket's depth of [depth] tokens. */
+    data class ExceedsBurst(val depth: Double) : ChargeReply
+
+    /** Not debited: the fingerprint crashed upstreams and is barred for [retryAfterMillis]. */
+    data class Barred(val retryAfterMillis: Long) : ChargeReply
+
+    /** This daemon does not own the quota; [owner] is the VM it believes to be the owner, if any. */
+    data class NotOwner(val owner: String?) : ChargeReply
+}
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/peer/PlaceReply.kt
@@ -0,0 +1,23 @@
+package fireflyhinge.peer
+
+import com.fasterxml.jackson.annotation.JsonTypeInfo
+
+/** Answer of a cell owner. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "type")
+sealed interface PlaceReply {
+    /** A slot is bound to [ticket], which lapses unless it is renewed every second. */
+    data class Placed(
+        val ticket: String,
+        val epoch: Long,
+        val prefillReplica: String,
+        val prefillAddress: String,
+        val decodeReplica: String,
+        val decodeAddress: String,
+    ) : PlaceReply
+
+    /** Not placed: no capacity in time. */
+    data class Refused(val reason: String, val retryAfterMillis: Long) : PlaceReply
+
+    /** This daemon does not own the cell. */
+    data class NotOwner(val owner: String?) : PlaceReply
+}
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/peer/PlaceRequest.kt
@@ -0,0 +1,29 @@
+package fireflyhinge.peer
+
+import fireflyhinge.config.Priority
+import fireflyhinge.engine.Holder
+
+/**
+ * Asks the owner of a cell for a decode slot and a prefill replica.
+ *
+ * @property prefixHashes hashes of the prompt's prefixes at each multiple of 1,000 tokens, scoped to the workspace.
+ * @property maxWaitMillis longest wait in the queue; the request is refused as not run when it cannot be met.
+ * @property suspect whether the request must run as the only suspect on its replicas.
+ * @property avoid replicas that failed in earlier attempts of this request.
+ */
+data class PlaceRequest(
+    val requestId: String,
+    val attempt: Int,
+    val holder: Holder,
+    val service: String,
+    val workspace: String,
+    val failureDomain: String,
+    val priority: Priority,
+    val promptTokens: Int,
+    val maxOutputTokens: Int,
+    val prefixHashes: List<String>,
+    val maxWaitMillis: Long,
+    val fingerprint: String,
+    val suspect: Boolean = false,
+    val avoid: Set<String> = emptySet(),
+)
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/store/Store.kt
@@ -0,0 +1,19 @@
+package fireflyhinge.store
+
+/** The platform's object API. Every call, a waiting watch included, counts against the platform's rate limit. */
+interface Store {
+    /** Reads one object. */
+    fun get(name: ObjectName): StoreResult<StoredObject>
+
+    /** Lists all objects of [kind]. */
+    fun list(kind: String): StoreResult<List<StoredObject>>
+
+    /** Writes [value] if [condition] holds and returns the new version's object. */
+    fun put(name: ObjectName, value: String, condition: WriteCondition): StoreResult<StoredObject>
+
+    /** Waits up to [waitMillis] for changes after [position]; an empty batch means that none came. */
+    fun watch(position: Long, waitMillis: Long): StoreResult<WatchBatch>
+
+    /** Reads the VM list. */
+    fun vms(): StoreResult<List<VmEntry>>
+}
