--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/peer/HttpPeerTransport.kt
@@ -0,0 +1,87 @@
+package fireflyhinge.daemon.peer
+
+import com.fasterxml.jackson.core.JsonProcessingException
+import fireflyhinge.Json
+import fireflyhinge.peer.PeerResult
+import fireflyhinge.peer.PeerTransport
+import okhttp3.ConnectionPool
+import okhttp3.MediaType.Companion.toMediaType
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import okhttp3.Response
+import java.io.IOException
+import java.net.ConnectException
+import java.net.NoRouteToHostException
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+
+/**
+ * Peer messages over HTTP. Each peer has its own connection pool, so that after a timeout the connections of that peer
+ * alone are replaced: an open connection can be silent for good while new ones work.
+ *
+ * @param addressOf control address (`host:port`) of a VM id, or null if it is not known.
+ */
+class HttpPeerTransport(private val token: String, private val addressOf: (String) -> String?) : PeerTransport {
+    private val base =
+        OkHttpClient.Builder()
+            .connectTimeout(CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+            .readTimeout(0, TimeUnit.MILLISECONDS)
+            .build()
+    private val clients = ConcurrentHashMap<String, OkHttpClient>()
+
+    override fun <T : Any> post(
+        vm: String,
+        path: String,
+        message: Any,
+        reply: Class<T>,
+        timeoutMillis: Long,
+    ): PeerResult<T> {
+        val address = if (':' in vm) vm else addressOf(vm)
+        if (address == null) return PeerResult.Unreachable("VM $vm is not known")
+        val request =
+            Request.Builder()
+                .url("http://$address$path")
+                .header("Authorization", "Bearer $token")
+                .post(Json.mapper.writeValueAsBytes(message).toRequestBody(JSON))
+                .build()
+        val client = clients.computeIfAbsent(address) { newClient() }
+        val call = client.newCall(request)
+        call.timeout().timeout(timeoutMillis, TimeUnit.MILLISECONDS)
+        return try {
+            call.execute().use { decode(it, reply) }
+        } catch (e: ConnectException) {
+            refusedOrUnreachable(e)
+        } catch (e: NoRouteToHostException) {
+            PeerResult.Unreachable(e.toString())
+        } catch (e: IOException) {
+            client.connectionPool.evictAll()
+            PeerResult.Failed(e.toString())
+        }
+    }
+
+    private fun <T : Any> decode(response: Response, reply: Class<T>): PeerResult<T> {
+        val text = response.body.string()
+        if (!response.isSuccessful) return PeerResult.Failed("status ${response.code}")
+        return try {
+            PeerResult.Ok(Json.mapper.readValue(text, reply))
+        } catch (e: JsonProcessingException) {
+            PeerResult.Failed("unreadable answer: ${e.originalMessage}")
+        }
+    }
+
+    private fun refusedOrUnreachable(e: ConnectException): PeerResult<Nothing> {
+        val refused = generateSequence<Throwable>(e) { it.cause }.any { it.message.orEmpty().contains("refused") }
+        return if (refused) PeerResult.ConnectionRefused else PeerResult.Unreachable(e.toString())
+    }
+
+    private fun newClient(): OkHttpClient =
+        base.newBuilder().connectionPool(ConnectionPool(MAX_IDLE, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)).build()
+
+    private companion object {
+        const val CONNECT_TIMEOUT_MILLIS = 1000L
+        const val MAX_IDLE = 32
+        const val KEEP_ALIVE_SECONDS = 30L
+        val JSON = "application/json".toMediaType()
+    }
+}
