Add the cell scheduler and its peer client, first version

Cause: requests need one place per cell that binds decode slots, orders waiting requests and finds orphans; the daemons need a client that reaches it wherever it runs. Ruled out: an id chosen by the owner for each ticket (a lost reply would need a second lookup; request id and attempt already identify it); an answer that is held open without limit (a silent connection could not be told from a long wait), hence the new reply Waiting after 2 s; ticket messages with the prompt's prefixes (only the placement needs them). Change: core package schedule (Cell, fair queue, admission, placement policy with two baselines, tickets, orphans, retry budgets) and daemon package cell (CellService, PeerPlacementClient). New messages: PlaceReply.Waiting, TicketReply, TicketUpdate.prefillMillis.

--- a/core/src/main/kotlin/fireflyhinge/peer/PlaceReply.kt
+++ b/core/src/main/kotlin/fireflyhinge/peer/PlaceReply.kt
@@ -18,6 +18,9 @@
     /** Not placed: no capacity in time. */
     data class Refused(val reason: String, val retryAfterMillis: Long) : PlaceReply
 
+    /** Still queued: the asker keeps its place in the queue if it asks again within a second. */
+    data class Waiting(val queued: Boolean = true) : PlaceReply
+
     /** This daemon does not own the cell. */
     data class NotOwner(val owner: String?) : PlaceReply
 }
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/schedule/Cell.kt
@@ -0,0 +1,134 @@
+package fireflyhinge.schedule
+
+import fireflyhinge.config.Upstream
+import fireflyhinge.engine.EngineLoad
+import fireflyhinge.engine.EngineRequestId
+import fireflyhinge.engine.HeldRequest
+import fireflyhinge.peer.PlaceReply
+import fireflyhinge.peer.PlaceRequest
+import fireflyhinge.peer.TicketUpdate
+
+/**
+ * Decisions of one cell under one epoch: who waits, who gets which slot, which requests at engines are orphans. It
+ * starts without knowledge, as after a takeover. Not thread-safe; times are the owner's monotonic milliseconds.
+ */
+class Cell(
+    private val epoch: Long,
+    startedAt: Long,
+    private val settings: SchedulerSettings = SchedulerSettings(),
+) {
+    private var weights: Map<String, Double> = emptyMap()
+    private val replicas = CellReplicas(settings)
+    private val queue = FairQueue(settings.minimumClassWeight) { maxOf(weights[it] ?: 1.0, MIN_WEIGHT) }
+    private val book = TicketBook(settings)
+    private val orphans = OrphanWatch(settings, book)
+    private val retries = RetryBudgets(settings)
+    private val rate = ServiceRate()
+    private val retryAfterMillis = settings.firstTokenMillis
+    private var expiredAt = startedAt
+    private val openAt = startedAt + settings.graceMillis
+    private val admission = Admission(settings, replicas, queue, rate, openAt)
+    private val dispatcher = Dispatcher(settings.policy.create(settings), replicas, queue, book, epoch)
+    private val reports = TicketReports(replicas, book, epoch)
+
+    /** Whether requests wait for a placement. */
+    val waiting: Boolean get() = !queue.isEmpty
+
+    /** Takes a new configuration: the replicas of the cell and the weight of each workspace relative to the others. */
+    fun configure(upstreams: List<Upstream>, weights: Map<String, Double>) {
+        this.weights = weights
+        replicas.configure(upstreams)
+        book.all.forEach(replicas::adopt)
+    }
+
+    /**
+     * Asks for a placement. Returns the answer if there is one already, or null after queueing the request; the answer
+     * then comes from [pump]. A repeated question keeps its place in the queue or gets the same ticket again.
+     */
+    fun ask(request: PlaceRequest, now: Long): PlaceReply? {
+        val id = request.ticketId()
+        val ticket = book[id]
+        return when {
+            ticket != null -> ticket.placed.also { book.renew(ticket, now) }
+            book.ended(id) != null -> RefusalReason.WITHDRAWN.reply(retryAfterMillis)
+            else -> enqueue(id, request, now)
+        }
+    }
+
+    /** Makes all decisions that are due and returns the answers by ticket id. */
+    fun pump(now: Long): Map<String, PlaceReply> {
+        val refusals = if (now - expiredAt < EXPIRE_EVERY_MILLIS) emptyMap() else expire(now)
+        val placements = if (now < openAt) emptyMap() else dispatcher.dispatch(now)
+        rate.record(placements.values.sumOf { it.request.cost() }, waiting = waiting, now = now)
+        return refusals + placements.mapValues { it.value.placed }
+    }
+
+    /** Takes a holder's report about one ticket. False if the ticket has expired. */
+    fun update(update: TicketUpdate, now: Long): Boolean {
+        if (update.released) queue.remove(update.ticket)
+        return reports.update(update, now)
+    }
+
+    /** Takes the load report of [replica], or null if it did not answer. */
+    fun report(replica: String, load: EngineLoad?, now: Long) {
+        val known = replicas[replica] ?: return
+        if (load == null) known.unreachable() else known.report(load, now)
+    }
+
+    /** Takes the list of requests that [replica] holds and returns the orphans to cancel. */
+    fun held(replica: String, held: List<HeldRequest>, now: Long): List<Cancellation> {
+        val known = replicas[replica] ?: return emptyList()
+        if (known is DecodeReplica) {
+            known.list(
+                held.filter { book[it.ticket] == null && book.ended(it.ticket) != TicketEnd.RELEASED }
+                    .mapTo(HashSet()) { it.id },
+            )
+        }
+        return orphans.orphans(known, held, now)
+    }
+
+    /** Records that [replica] confirmed a cancellation. */
+    fun cancelled(replica: String, id: EngineRequestId) {
+        (replicas[replica] as? DecodeReplica)?.dropped(id)
+    }
+
+    private fun enqueue(id: String, request: PlaceRequest, now: Long): PlaceReply? {
+        queue[id]?.let {
+            it.askedAt = now
+            return null
+        }
+        val deadline = admission.deadline(request, now)
+        admission.refusal(request, deadline, now)?.let { return it.reply(retryAfterMillis) }
+        if (!retries.admit(request, now)) return RefusalReason.RETRY_BUDGET.reply(retryAfterMillis)
+        queue.add(QueueEntry(request = request, deadline = deadline, askedAt = now))
+        return null
+    }
+
+    private fun expire(now: Long): Map<String, PlaceReply> {
+        if (now - expiredAt > PAUSE_MILLIS) {
+            // Renewals could not be received during the pause, so every ticket gets its whole time again.
+            book.extendAll(now)
+            orphans.restart()
+        }
+        expiredAt = now
+        book.expired(now).forEach { ticket ->
+            book.end(ticket.id, TicketEnd.LAPSED, now)
+            replicas.free(ticket, lapsed = true)
+        }
+        book.forget(now)
+        queue.removeIf { it.askedAt + settings.askMillis < now }
+        return queue.removeIf { it.deadline <= now }
+            .associate { it.id to RefusalReason.CAPACITY.reply(retryAfterMillis) }
+    }
+
+    private companion object {
+        /** A longer gap between decisions means that this process was paused. */
+        const val PAUSE_MILLIS = 1_000
+
+        /** Expiry need not be exact; it scans the whole queue. */
+        const val EXPIRE_EVERY_MILLIS = 50
+
+        /** A workspace without a rate still gets a small share. */
+        const val MIN_WEIGHT = 0.001
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/schedule/CellReplicas.kt
@@ -0,0 +1,78 @@
+package fireflyhinge.schedule
+
+import fireflyhinge.config.Upstream
+import fireflyhinge.config.UpstreamRole
+import fireflyhinge.peer.PlaceRequest
+
+/** The replicas of a cell. Replicas that left the configuration stay known while tickets are bound to them. */
+internal class CellReplicas(private val settings: SchedulerSettings) {
+    private val byName = LinkedHashMap<String, Replica>()
+
+    /** All replicas. */
+    val all: Collection<Replica> get() = byName.values
+
+    /** Prefill replicas. */
+    val prefill: List<PrefillReplica> get() = byName.values.filterIsInstance<PrefillReplica>()
+
+    /** Decode replicas. */
+    val decode: List<DecodeReplica> get() = byName.values.filterIsInstance<DecodeReplica>()
+
+    /** The replica with this name, or null. */
+    operator fun get(name: String): Replica? = byName[name]
+
+    /** Takes over a new configuration. */
+    fun configure(upstreams: List<Upstream>) {
+        val present = upstreams.associateBy { it.name }
+        byName.values.removeIf { it.name !in present || it.upstream.address != present[it.name]?.address }
+        upstreams.forEach { upstream ->
+            val known = byName[upstream.name]
+            if (known == null) byName[upstream.name] = create(upstream) else known.upstream = upstream
+        }
+    }
+
+    /** Prefill replicas that may take [request]. */
+    fun prefillFor(request: PlaceRequest): List<PrefillReplica> = prefill.usable(request)
+
+    /** Decode replicas that may take [request]. */
+    fun decodeFor(request: PlaceRequest): List<DecodeReplica> = decode.usable(request)
+
+    /** Binds a new ticket and reserves the links. */
+    fun bind(ticket: Ticket, choice: PlacementChoice.Place, now: Long) {
+        choice.decode.bind(ticket)
+        choice.prefill.assign(ticket, choice.prefillEnd)
+        listOf(choice.prefill, choice.decode).forEach {
+            it.link.reserve(start = choice.transferStart, duration = choice.transferMillis, now = now)
+        }
+    }
+
+    /** Binds the slot of a ticket that another owner issued. */
+    fun adopt(ticket: Ticket) {
+        (byName[ticket.placed.decodeReplica] as? DecodeReplica)?.bind(ticket)
+        val prefill = byName[ticket.placed.prefillReplica]
+        if (ticket.request.suspect && !ticket.prefillDone) prefill?.suspects?.add(ticket.id)
+    }
+
+    /** Frees what [ticket] holds; with [lapsed] its slot stays taken until the engine has dropped the request. */
+    fun free(ticket: Ticket, lapsed: Boolean) {
+        val decode = byName[ticket.placed.decodeReplica] as? DecodeReplica
+        if (lapsed) decode?.lapse(ticket) else decode?.release(ticket)
+        (byName[ticket.placed.prefillReplica] as? PrefillReplica)?.release(ticket)
+    }
+
+    private fun create(upstream: Upstream): Replica =
+        if (upstream.role == UpstreamRole.DECODE) {
+            DecodeReplica(upstream, settings)
+        } else {
+            PrefillReplica(upstream, settings)
+        }
+
+    /** Replicas in `avoid` are used only if there is no other. */
+    private fun <T : Replica> List<T>.usable(request: PlaceRequest): List<T> {
+        val accepting = filter { it.accepts(request.suspect) }
+        return if (all { it.name in request.avoid || !it.available }) {
+            accepting
+        } else {
+            accepting.filter { it.name !in request.avoid }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/schedule/Replica.kt
@@ -0,0 +1,46 @@
+package fireflyhinge.schedule
+
+import fireflyhinge.config.Upstream
+import fireflyhinge.engine.EngineLoad
+
+/** What a cell believes about one replica. Not thread-safe; the cell's lock guards it. */
+internal sealed class Replica(var upstream: Upstream) {
+    val link = LinkReservations()
+
+    /** Tickets of suspects that may touch the replica. */
+    val suspects = mutableSetOf<String>()
+
+    /** The last load report, or null before the first one. */
+    var load: EngineLoad? = null
+        private set
+
+    private var failures = 0
+
+    val name: String get() = upstream.name
+
+    /** Whether the replica may get new work. */
+    val available: Boolean get() = !upstream.leaving && load?.leaving != true && failures == 0
+
+    /** Whether [request] may be placed here. */
+    fun accepts(suspect: Boolean): Boolean = available && (!suspect || suspects.isEmpty())
+
+    /** Takes a load report. */
+    fun report(newLoad: EngineLoad, now: Long) {
+        val restarted = load?.let { it.incarnation != newLoad.incarnation } == true
+        failures = 0
+        if (restarted) onRestart()
+        onReport(newLoad, now)
+        load = newLoad
+    }
+
+    /** Records that the replica did not answer; it gets no work until it does. */
+    fun unreachable() {
+        failures++
+    }
+
+    /** Drops what the old engine process held. */
+    protected abstract fun onRestart()
+
+    /** Learns from [newLoad]; [load] is still the previous report. */
+    protected abstract fun onReport(newLoad: EngineLoad, now: Long)
+}
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/schedule/RetryBudgets.kt
@@ -0,0 +1,31 @@
+package fireflyhinge.schedule
+
+import fireflyhinge.peer.PlaceRequest
+
+/** Retry budgets of a cell and of each workspace in it. */
+internal class RetryBudgets(private val settings: SchedulerSettings) {
+    private val cell = budget(limit = CELL_LIMIT)
+    private val workspaces = HashMap<String, RetryBudget>()
+
+    /** Counts [request]; false if it is a retry beyond a budget. */
+    fun admit(request: PlaceRequest, now: Long): Boolean {
+        val own = workspaces.getOrPut(request.workspace) { budget(limit = WORKSPACE_LIMIT) }
+        val both = listOf(own, cell)
+        if (request.attempt <= 1) {
+            both.forEach { it.request() }
+            return true
+        }
+        val allowed = both.all { it.allows(now) }
+        if (allowed) both.forEach { it.take() }
+        return allowed
+    }
+
+    private fun budget(limit: Double) =
+        RetryBudget(ratio = settings.retryRatio, minimum = settings.retryMinimum, limit = limit)
+
+    private companion object {
+        /** A replica that crashes leaves about 20 requests to retry; several may crash together. */
+        const val CELL_LIMIT = 200.0
+        const val WORKSPACE_LIMIT = 60.0
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/schedule/TicketBook.kt
@@ -0,0 +1,47 @@
+package fireflyhinge.schedule
+
+/** The live tickets of a cell, and those that ended recently so that late messages about them are recognized. */
+internal class TicketBook(private val settings: SchedulerSettings) {
+    private val live = LinkedHashMap<String, Ticket>()
+    private val endedAt = LinkedHashMap<String, Ended>()
+
+    /** All live tickets. */
+    val all: Collection<Ticket> get() = live.values
+
+    /** The live ticket with this id, or null. */
+    operator fun get(id: String): Ticket? = live[id]
+
+    /** How the ticket ended, or null if it is live, unknown or ended long ago. */
+    fun ended(id: String): TicketEnd? = endedAt[id]?.end
+
+    /** Adds or renews a ticket. */
+    fun renew(ticket: Ticket, now: Long) {
+        ticket.expiresAt = now + settings.ticketMillis
+        live[ticket.id] = ticket
+    }
+
+    /** Ends a ticket; also records the end of one that was never issued, so that it is not issued later. */
+    fun end(id: String, end: TicketEnd, now: Long): Ticket? {
+        endedAt[id] = Ended(end = end, at = now)
+        return live.remove(id)
+    }
+
+    /** Tickets whose time is over at [now]. */
+    fun expired(now: Long): List<Ticket> = live.values.filter { it.expiresAt <= now }
+
+    /** Gives all tickets their whole time again, because this process could not receive renewals for a while. */
+    fun extendAll(now: Long) = live.values.forEach { it.expiresAt = now + settings.ticketMillis }
+
+    /** Forgets ends that no late message can refer to. */
+    fun forget(now: Long) {
+        val iterator = endedAt.values.iterator()
+        while (iterator.hasNext() && iterator.next().at < now - FORGET_MILLIS) iterator.remove()
+    }
+
+    private data class Ended(val end: TicketEnd, val at: Long)
+
+    private companion object {
+        /** Longer than any message can be on its way and than an orphan can stay listed. */
+        const val FORGET_MILLIS = 60_000
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/schedule/TicketReports.kt
@@ -0,0 +1,52 @@
+package fireflyhinge.schedule
+
+import fireflyhinge.peer.PlaceReply
+import fireflyhinge.peer.TicketUpdate
+
+/** Applies the holders' reports: renewal, progress, release, and adoption of tickets that another owner issued. */
+internal class TicketReports(
+    private val replicas: CellReplicas,
+    private val book: TicketBook,
+    private val epoch: Long,
+) {
+    /** Applies one report. False if the ticket has expired, so that its holder must stop. */
+    fun update(update: TicketUpdate, now: Long): Boolean {
+        if (update.released) return release(update, now)
+        if (book.ended(update.ticket) != null) return false
+        val ticket = book[update.ticket] ?: adopt(update, now)
+        book.renew(ticket, now)
+        progress(ticket, update, now)
+        return true
+    }
+
+    private fun release(update: TicketUpdate, now: Long): Boolean {
+        book.end(update.ticket, TicketEnd.RELEASED, now)?.let { replicas.free(it, lapsed = false) }
+        return true
+    }
+
+    private fun progress(ticket: Ticket, update: TicketUpdate, now: Long) {
+        if (update.prefillDone && !ticket.prefillDone) {
+            ticket.prefillDone = true
+            (replicas[ticket.placed.prefillReplica] as? PrefillReplica)
+                ?.finished(ticket, update.cachedTokens, update.prefillMillis)
+        }
+        val decode = replicas[ticket.placed.decodeReplica] as? DecodeReplica
+        ticket.progress(update.generatedTokens, now)?.let { decode?.step?.add(it) }
+    }
+
+    private fun adopt(update: TicketUpdate, now: Long): Ticket {
+        val placed =
+            PlaceReply.Placed(
+                ticket = update.ticket,
+                epoch = epoch,
+                prefillReplica = update.prefillReplica,
+                prefillAddress = replicas[update.prefillReplica]?.upstream?.address.orEmpty(),
+                decodeReplica = update.decodeReplica,
+                decodeAddress = replicas[update.decodeReplica]?.upstream?.address.orEmpty(),
+            )
+        val ticket = Ticket(request = update.request, placed = placed, importAt = now)
+        ticket.prefillDone = update.prefillDone
+        replicas.adopt(ticket)
+        return ticket
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/CellService.kt
@@ -0,0 +1,104 @@
+package fireflyhinge.daemon.cell
+
+import fireflyhinge.config.ConfigSource
+import fireflyhinge.engine.EngineClient
+import fireflyhinge.lease.ShardOwnership
+import fireflyhinge.membership.Membership
+import fireflyhinge.peer.PeerEndpoint
+import fireflyhinge.peer.PlaceReply
+import fireflyhinge.peer.PlaceRequest
+import fireflyhinge.peer.TicketBatch
+import fireflyhinge.peer.TicketReply
+import fireflyhinge.schedule.CellKey
+import fireflyhinge.schedule.RefusalReason
+import fireflyhinge.schedule.SchedulerSettings
+import fireflyhinge.time.MonotonicClock
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+
+/** Owner side of the scheduler: the cells of this daemon's region that it may act for. */
+class CellService(
+    private val ownership: ShardOwnership,
+    config: ConfigSource,
+    membership: Membership,
+    engines: EngineClient,
+    clock: MonotonicClock = MonotonicClock.SYSTEM,
+    private val settings: SchedulerSettings = SchedulerSettings(),
+) : AutoCloseable {
+    private val region = membership.self().region
+    private val plans = CellPlans(config)
+    private val cells = ActingCells(ownership, plans, region, clock, settings)
+    private val loops = CellLoops(cells, engines, clock)
+
+    /** Handlers to serve on the control API. */
+    fun endpoints(): List<PeerEndpoint<*>> =
+        listOf(
+            PeerEndpoint(path = PLACE_PATH, type = PlaceRequest::class.java, handle = ::place),
+            PeerEndpoint(path = TICKETS_PATH, type = TicketBatch::class.java, handle = ::tickets),
+        )
+
+    /** Starts the loops that place waiting requests and read the engines. */
+    fun start() = loops.start()
+
+    /** Stops the loops and sends waiting askers away. */
+    override fun close() {
+        loops.close()
+        cells.retireAll()
+    }
+
+    /** Whether this daemon may act for [cell] of its own region now. */
+    internal fun acts(cell: CellKey): Boolean = cells.acting(cell) != null
+
+    /** Asks for a placement without blocking. */
+    internal fun ask(request: PlaceRequest): CompletableFuture<PlaceReply> {
+        val plan = plans.plan(request.service, region)
+        if (plan.cells == 0) return CompletableFuture.completedFuture(noReplica())
+        val cell = plan.cellOfRequest(request.requestId)
+        val runtime = cells.acting(cell)
+        return runtime?.ask(request) ?: CompletableFuture.completedFuture(notOwner(cell))
+    }
+
+    /** Applies a holder's reports. */
+    internal fun tickets(batch: TicketBatch): TicketReply {
+        val plan = plans.plan(batch.service, region)
+        val byCell =
+            batch.updates.groupBy {
+                if (it.decodeReplica.isEmpty()) {
+                    plan.cellOfRequest(it.request.requestId)
+                } else {
+                    plan.cellOfReplica(it.decodeReplica)
+                }
+            }
+        val runtimes = byCell.mapValues { (cell, _) -> cells.acting(cell) }
+        val missing = runtimes.entries.firstOrNull { it.value == null }?.key
+        if (missing != null) return TicketReply(acting = false, owner = notOwner(missing).owner)
+        return TicketReply(
+            acting = true,
+            lapsed = byCell.flatMapTo(HashSet()) { (cell, updates) -> runtimes[cell]?.update(updates).orEmpty() },
+        )
+    }
+
+    private fun place(request: PlaceRequest): PlaceReply =
+        try {
+            ask(request).get(HOLD_MILLIS, TimeUnit.MILLISECONDS)
+        } catch (_: TimeoutException) {
+            PlaceReply.Waiting()
+        }
+
+    private fun notOwner(cell: CellKey) =
+        PlaceReply.NotOwner(owner = ownership.ownerOf(region, ownership.shardOf(cell.toString())))
+
+    private fun noReplica() = RefusalReason.NO_REPLICA.reply(settings.firstTokenMillis)
+
+    companion object {
+        /** Path of the placement message. */
+        const val PLACE_PATH = "/peer/v1/place"
+
+        /** Path of the ticket message. */
+        const val TICKETS_PATH = "/peer/v1/tickets"
+
+        /** Answers come within this time, so that askers can tell a silent connection (3 s) from a long wait. */
+        internal const val HOLD_MILLIS = 2_000L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/PeerPlacementClient.kt
@@ -0,0 +1,84 @@
+package fireflyhinge.daemon.cell
+
+import fireflyhinge.config.ConfigSource
+import fireflyhinge.peer.PlaceReply
+import fireflyhinge.peer.PlaceRequest
+import fireflyhinge.result.Outcome
+import fireflyhinge.result.ResultCode
+import fireflyhinge.schedule.PlacementClient
+import fireflyhinge.time.MonotonicClock
+import fireflyhinge.time.millis
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+
+/** Places requests through the cell owners of this daemon's region, or of another one if that has no capacity. */
+class PeerPlacementClient(
+    private val router: OwnerRouter,
+    config: ConfigSource,
+    registry: PrometheusRegistry,
+    private val clock: MonotonicClock = MonotonicClock.SYSTEM,
+) : PlacementClient, AutoCloseable {
+    private val plans = CellPlans(config)
+    private val workers = Executors.newCachedThreadPool(DaemonThreads("placement"))
+    private val timer = Executors.newSingleThreadScheduledExecutor(DaemonThreads("ticket-renewal"))
+    private val keeper = TicketKeeper(router, clock, workers)
+    private val crossRegion =
+        Counter.builder()
+            .name("fireflyhinge_cross_region_placements_total")
+            .help("Requests placed in another region than that of the daemon that accepted them")
+            .labelNames("service", "region")
+            .register(registry)
+
+    /** Starts the renewals. */
+    fun start() {
+        timer.scheduleAtFixedRate(keeper::renewAll, RENEW_MILLIS, RENEW_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    override fun place(request: PlaceRequest, abandoned: () -> Boolean): Outcome<PlaceReply.Placed> {
+        val cells = cellsOf(request)
+        if (cells.isEmpty()) return Outcome.Failure(ResultCode.NO_UPSTREAM, detail = request.service)
+        val attempt = PlacementAttempt(request, cells, router, keeper, clock, workers)
+        return when (val outcome = attempt.run(abandoned)) {
+            is Outcome.Failure -> outcome
+            is Outcome.Success -> Outcome.Success(hold(outcome.value))
+        }
+    }
+
+    override fun progress(ticket: String, generatedTokens: Int, prefillDone: Boolean, cachedTokens: Int?) {
+        keeper[ticket]?.progress(generatedTokens, prefillDone, cachedTokens, clock.millis())
+    }
+
+    override fun isValid(ticket: String): Boolean = keeper[ticket]?.isValid(clock.millis()) == true
+
+    override fun release(ticket: String) {
+        keeper[ticket]?.let(keeper::release)
+    }
+
+    /** Stops the renewals; tickets still open lapse. */
+    override fun close() {
+        timer.shutdownNow()
+        workers.shutdown()
+    }
+
+    private fun hold(placement: HeldPlacement): PlaceReply.Placed {
+        val address = placement.ticket.address
+        keeper.add(placement.ticket)
+        if (address.region != router.region) crossRegion.labelValues(address.cell.service, address.region).inc()
+        return placement.placed
+    }
+
+    /** Cells to ask in order: that of this region first, then those of the other regions that have replicas. */
+    private fun cellsOf(request: PlaceRequest): List<CellAddress> {
+        val home = router.region
+        return plans.regions(request.service)
+            .filter { plans.plan(request.service, it).usable }
+            .sortedBy { it != home }
+            .map { CellAddress(it, plans.plan(request.service, it).cellOfRequest(request.requestId)) }
+    }
+
+    private companion object {
+        const val RENEW_MILLIS = 1_000L
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/cell/FakeFleet.kt
@@ -0,0 +1,121 @@
+package fireflyhinge.daemon.cell
+
+import fireflyhinge.Json
+import fireflyhinge.config.ConfigSnapshot
+import fireflyhinge.config.ConfigSource
+import fireflyhinge.config.Priority
+import fireflyhinge.config.Upstream
+import fireflyhinge.config.UpstreamRole
+import fireflyhinge.engine.Holder
+import fireflyhinge.lease.ShardOwnership
+import fireflyhinge.membership.Member
+import fireflyhinge.membership.Membership
+import fireflyhinge.peer.PeerEndpoint
+import fireflyhinge.peer.PeerResult
+import fireflyhinge.peer.PeerTransport
+import fireflyhinge.peer.PlaceRequest
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.util.concurrent.ConcurrentHashMap
+
+/** Daemons in one process whose messages pass through JSON. [owners] names the acting VM of each region. */
+internal class FakeFleet(slots: Int, vararg vms: Pair<String, String>) : AutoCloseable {
+    val owners = ConcurrentHashMap<String, String>()
+    val unreachable: MutableSet<String> = ConcurrentHashMap.newKeySet()
+
+    /** VMs whose next answer is lost after they acted. */
+    val losesReply: MutableSet<String> = ConcurrentHashMap.newKeySet()
+    val engines = FakeEngines(slots)
+
+    @Volatile
+    var epoch = 1L
+
+    @Volatile
+    var snapshot = ConfigSnapshot()
+    private val daemons = vms.associate { (vm, region) -> vm to FakeDaemon(vm, region) }
+
+    operator fun get(vm: String): FakeDaemon = daemons.getValue(vm)
+
+    fun upstreams(region: String, slots: Int): List<Upstream> =
+        UpstreamRole.values().take(2).map { role ->
+            Upstream(
+                name = "$region-$role",
+                service = "m",
+                role = role,
+                address = "$region-$role:1",
+                region = region,
+                failureDomain = region,
+                slots = slots,
+            )
+        }
+
+    fun start() = daemons.values.forEach {
+        it.service.start()
+        it.client.start()
+    }
+
+    override fun close() = daemons.values.forEach {
+        it.client.close()
+        it.service.close()
+    }
+
+    inner class FakeDaemon(val vm: String, val region: String) :
+        ShardOwnership, Membership, PeerTransport, ConfigSource {
+        val registry = PrometheusRegistry()
+        val service = CellService(ownership = this, config = this, membership = this, engines = engines)
+        val router = OwnerRouter(cells = service, ownership = this, membership = this, transport = this)
+        val client = PeerPlacementClient(router = router, config = this, registry = registry)
+
+        fun request(id: String, maxWaitMillis: Long = 5_000, priority: Priority = Priority.BATCH) =
+            PlaceRequest(
+                requestId = id,
+                attempt = 1,
+                holder = Holder(vm, 1),
+                service = "m",
+                workspace = "w",
+                failureDomain = region,
+                priority = priority,
+                promptTokens = 100,
+                maxOutputTokens = 100,
+                prefixHashes = emptyList(),
+                maxWaitMillis = maxWaitMillis,
+                fingerprint = id,
+            )
+
+        override fun shardOf(key: String) = 0
+
+        override fun actingEpoch(shard: Int): Long? = epoch.takeIf { owners[region] == vm }
+
+        override fun ownerOf(region: String, shard: Int): String? = owners[region]
+
+        override fun successorOf(region: String, shard: Int): String? = null
+
+        override fun self() = Member(vm, region, region, "", "", incarnation = 1, heartbeat = 1)
+
+        override fun members(): List<Member> = daemons.values.map { it.self() }
+
+        override fun isolated() = false
+
+        override fun provenDead(vm: String, incarnation: Long) = false
+
+        override fun current(): ConfigSnapshot = snapshot
+
+        override fun onChange(listener: (ConfigSnapshot) -> Unit) = Unit
+
+        override fun <T : Any> post(
+            vm: String,
+            path: String,
+            message: Any,
+            reply: Class<T>,
+            timeoutMillis: Long,
+        ): PeerResult<T> {
+            val peer = daemons[vm]?.takeIf { vm !in unreachable } ?: return PeerResult.ConnectionRefused
+            val endpoint = peer.service.endpoints().single { it.path == path }
+            val answer = Json.encode(handle(endpoint, Json.encode(message)))
+            if (losesReply.remove(vm)) return PeerResult.Failed("reply lost")
+            return PeerResult.Ok(Json.mapper.readValue(answer, reply))
+        }
+
+        private fun <M : Any> handle(endpoint: PeerEndpoint<M>, body: String): Any =
+            endpoint.handle(Json.mapper.readValue(body, endpoint.type))
+    }
+}
