Add configuration copies, membership and their services

Cause: daemons need one configuration and a view of each other without a coordination service. Ruled out: spreading every heartbeat to everyone at the target size (1,500 entries per message); one version per object only, since an invalid object would then displace the last valid one. Change: pure merge and comparison of configuration copies, member table, evidence of death, isolation rule, address selection; GossipService, ConfigService and AddressEndpoint over the store and peer ports.

--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/config/ObjectVersion.kt
@@ -0,0 +1,14 @@
+package fireflyhinge.config
+
+import fireflyhinge.store.ObjectName
+
+/**
+ * Versions of one object that a copy holds.
+ *
+ * @property version highest version seen.
+ * @property validVersion highest version that passed validation, 0 if none did.
+ */
+data class ObjectVersion(val kind: String, val name: String, val version: Long, val validVersion: Long = version) {
+    /** Name of the object. */
+    internal fun objectName(): ObjectName = ObjectName(kind, name)
+}
--- a/core/src/main/kotlin/fireflyhinge/config/Route.kt
+++ b/core/src/main/kotlin/fireflyhinge/config/Route.kt
@@ -10,13 +10,13 @@
  * @property costTokens charge of one plain call against the workspace's quota, in tokens.
  */
 data class Route(
-    val name: String,
+    override val name: String,
     val kind: RouteKind,
     val service: String,
     val open: Boolean = false,
     val idempotent: Boolean = true,
     val idempotencyKeyRequired: Boolean = true,
     val costTokens: Double = 1.0,
-    val changeId: String = "",
-    val deleted: Boolean = false,
-)
+    override val changeId: String = "",
+    override val deleted: Boolean = false,
+) : ConfigObject
--- a/core/src/main/kotlin/fireflyhinge/config/Template.kt
+++ b/core/src/main/kotlin/fireflyhinge/config/Template.kt
@@ -2,8 +2,8 @@
 
 /** A template of workspaces: parameter defaults that a workspace may override. */
 data class Template(
-    val name: String,
+    override val name: String,
     val parameters: WorkspaceParameters = WorkspaceParameters(),
-    val changeId: String = "",
-    val deleted: Boolean = false,
-)
+    override val changeId: String = "",
+    override val deleted: Boolean = false,
+) : ConfigObject
--- a/core/src/main/kotlin/fireflyhinge/config/Upstream.kt
+++ b/core/src/main/kotlin/fireflyhinge/config/Upstream.kt
@@ -10,7 +10,7 @@
  * @property leaving true once the replica must get no new work.
  */
 data class Upstream(
-    val name: String,
+    override val name: String,
     val service: String,
     val role: UpstreamRole,
     val address: String,
@@ -20,6 +20,6 @@
     val linkMegabytesPerSecond: Double = 1000.0,
     val checksFence: Boolean = true,
     val leaving: Boolean = false,
-    val changeId: String = "",
-    val deleted: Boolean = false,
-)
+    override val changeId: String = "",
+    override val deleted: Boolean = false,
+) : ConfigObject
--- a/core/src/main/kotlin/fireflyhinge/config/Workspace.kt
+++ b/core/src/main/kotlin/fireflyhinge/config/Workspace.kt
@@ -7,10 +7,10 @@
  * @property changeId identifies the operator's change that wrote this version, so that a lost reply can be resolved.
  */
 data class Workspace(
-    val name: String,
+    override val name: String,
     val template: String,
     val parameters: WorkspaceParameters = WorkspaceParameters(),
     val keyHashes: Set<String> = emptySet(),
-    val changeId: String = "",
-    val deleted: Boolean = false,
-)
+    override val changeId: String = "",
+    override val deleted: Boolean = false,
+) : ConfigObject
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/membership/BeatResult.kt
@@ -0,0 +1,16 @@
+package fireflyhinge.membership
+
+/** What a [Beat] told the receiver. */
+enum class BeatResult {
+    /** Nothing new. */
+    STALE,
+
+    /** A newer heartbeat without any other change. */
+    NEWER,
+
+    /** A change that others should hear about. */
+    CHANGED,
+
+    /** The VM or its incarnation is not known; its whole entry is needed. */
+    UNKNOWN,
+}
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/membership/MemberTable.kt
@@ -0,0 +1,54 @@
+package fireflyhinge.membership
+
+/**
+ * One daemon's table of all VMs. [MemberUpdates] changes it. Times are milliseconds of the monotonic clock. Not
+ * thread-safe.
+ */
+class MemberTable(self: Member) {
+    internal val records = sortedMapOf<String, MemberRecord>()
+    internal val evidence = DeathEvidence(self.id)
+
+    /** This VM's own entry. */
+    var self: Member = self
+        private set
+
+    /** Raises the own heartbeat, at least to [atLeast], and replaces what changed. */
+    fun updateSelf(atLeast: Long = 0, change: (Member) -> Member = { it }) {
+        val heartbeat = maxOf(self.heartbeat + 1, atLeast)
+        self = change(self).copy(id = self.id, incarnation = self.incarnation, heartbeat = heartbeat)
+    }
+
+    /** All members as this daemon sees them, itself included, sorted by id. */
+    fun view(now: Long): List<Member> =
+        (records.values.map { it.member.copy(state = stateOf(it, now)) } + ownView()).sortedBy { it.id }
+
+    /** One member as this daemon sees it. */
+    fun view(id: String, now: Long): Member? =
+        if (id == self.id) ownView() else records[id]?.let { it.member.copy(state = stateOf(it, now)) }
+
+    /** Evidence that the process of [id] with [incarnation] (0 for any) can no longer run. */
+    fun provenDead(id: String, incarnation: Long): Boolean =
+        evidence.proves(id, incarnation, known = knownIncarnation(id))
+
+    /** Whether the newest VM list marks this VM as leaving. */
+    fun selfLeaving(): Boolean = evidence.leaving(self.id)
+
+    internal fun knownIncarnation(id: String): Long =
+        if (id == self.id) self.incarnation else records[id]?.member?.incarnation ?: 0
+
+    private fun ownView(): Member =
+        if (selfLeaving() && self.state == MemberState.LIVE) self.copy(state = MemberState.DRAINING) else self
+
+    private fun stateOf(record: MemberRecord, now: Long): MemberState =
+        when {
+            provenDead(record.member.id, record.member.incarnation) -> MemberState.GONE
+            record.unresponsive(now) -> MemberState.UNRESPONSIVE
+            evidence.leaving(record.member.id) -> MemberState.DRAINING
+            else -> record.member.state
+        }
+
+    companion object {
+        /** Fleet size up to which every gossip message carries the heartbeats of all members. */
+        const val FULL_LIMIT = 32
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/config/ConfigPeers.kt
@@ -0,0 +1,106 @@
+package fireflyhinge.daemon.config
+
+import fireflyhinge.config.ConfigAnswer
+import fireflyhinge.config.ConfigExchange
+import fireflyhinge.config.ConfigMessage
+import fireflyhinge.membership.MemberState
+import fireflyhinge.membership.Membership
+import fireflyhinge.peer.PeerResult
+import fireflyhinge.peer.PeerTransport
+import fireflyhinge.store.StoredObject
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Executors
+import java.util.concurrent.RejectedExecutionException
+import kotlin.random.Random
+
+/** Spreads configuration between daemons: pushes of new objects and comparison of copies. */
+internal class ConfigPeers(
+    private val settings: ConfigSettings,
+    private val holder: ConfigHolder,
+    private val membership: Membership,
+    private val transport: PeerTransport,
+    private val random: Random,
+) : AutoCloseable {
+    private val workers = Executors.newCachedThreadPool { Thread(it, "config-peer").apply { isDaemon = true } }
+    private val comparing = ConcurrentHashMap.newKeySet<String>()
+
+    /** Answers `POST /peer/v1/config`. */
+    fun onMessage(message: ConfigMessage): ConfigAnswer {
+        offer(message.objects)
+        return ConfigExchange.answer(holder.copy, message)
+    }
+
+    /** Merges [objects] and passes those that were new on to three random peers. */
+    fun offer(objects: List<StoredObject>) {
+        val changed = holder.merge(objects)
+        if (changed.isEmpty()) return
+        val message = ConfigMessage(from = membership.self().id, objects = changed)
+        livePeers().shuffled(random).take(PUSH_PEERS).forEach { peer -> submit { send(peer, message) } }
+    }
+
+    /** Compares with [peer] in the background unless a comparison with it is running. */
+    fun compareLater(peer: String) {
+        if (!comparing.add(peer)) return
+        val accepted =
+            submit {
+                try {
+                    compare(peer)
+                } finally {
+                    comparing.remove(peer)
+                }
+            }
+        if (!accepted) comparing.remove(peer)
+    }
+
+    /** Exchanges differences with [peer] (a VM id or a seed address); returns whether it answered to the end. */
+    fun compare(peer: String): Boolean {
+        val from = membership.self().id
+        var next: ConfigMessage? = ConfigExchange.opening(holder.copy, from)
+        repeat(ConfigExchange.MAX_MESSAGES) {
+            val answer = send(peer, next ?: return true) ?: return false
+            offer(answer.objects)
+            next = ConfigExchange.followUp(holder.copy, answer, from)
+        }
+        return true
+    }
+
+    /** Reads the configuration from any peer or seed; returns whether one answered. */
+    fun compareWithAny(): Boolean =
+        (livePeers().shuffled(random).take(PUSH_PEERS) + settings.seeds.shuffled(random)).any(::compare)
+
+    override fun close() {
+        workers.shutdownNow()
+    }
+
+    private fun send(peer: String, message: ConfigMessage): ConfigAnswer? =
+        when (
+            val result =
+                transport.post(peer, PATH, message, ConfigAnswer::class.java, settings.peerTimeoutMillis)
+        ) {
+            is PeerResult.Ok -> result.value
+            else -> null
+        }
+
+    private fun livePeers(): List<String> {
+        val self = membership.self().id
+        return membership.members()
+            .filter { it.id != self && (it.state == MemberState.LIVE || it.state == MemberState.DRAINING) }
+            .map { it.id }
+    }
+
+    /** Work that arrives while the daemon shuts down is dropped. */
+    private fun submit(action: () -> Unit): Boolean =
+        try {
+            workers.execute(action)
+            true
+        } catch (_: RejectedExecutionException) {
+            false
+        }
+
+    companion object {
+        /** Path of the configuration messages. */
+        const val PATH = "/peer/v1/config"
+
+        private const val PUSH_PEERS = 3
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/membership/AddressEndpoint.kt
@@ -0,0 +1,13 @@
+package fireflyhinge.daemon.membership
+
+import fireflyhinge.address.AddressAnswer
+import fireflyhinge.address.AddressSelector
+import fireflyhinge.membership.Membership
+import kotlin.random.Random
+
+/** Logic of `GET /v1/addresses`. */
+class AddressEndpoint(private val membership: Membership, private val random: Random = Random.Default) {
+    /** Addresses for a caller in [failureDomain]; null if it named none. */
+    fun answer(failureDomain: String?): AddressAnswer =
+        AddressSelector.select(membership.members(), failureDomain, random)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/membership/GossipLoop.kt
@@ -0,0 +1,65 @@
+package fireflyhinge.daemon.membership
+
+import org.slf4j.LoggerFactory
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Executors
+import java.util.concurrent.ThreadFactory
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+
+/** Runs gossip rounds. Each exchange has a thread of its own, so that a silent peer does not delay the others. */
+internal class GossipLoop(
+    private val settings: GossipSettings,
+    private val state: MembershipState,
+    private val random: Random,
+    private val round: () -> Unit,
+    private val exchange: (String) -> Unit,
+) : AutoCloseable {
+    private val log = LoggerFactory.getLogger(javaClass)
+    private val threads = ThreadFactory { Thread(it, "gossip").apply { isDaemon = true } }
+    private val timer = Executors.newSingleThreadScheduledExecutor(threads)
+    private val workers = Executors.newCachedThreadPool(threads)
+    private val inFlight = ConcurrentHashMap.newKeySet<String>()
+    private var rounds = 0
+
+    fun start() {
+        timer.scheduleAtFixedRate(::runRound, 0, settings.roundMillis, TimeUnit.MILLISECONDS)
+    }
+
+    override fun close() {
+        timer.shutdownNow()
+        workers.shutdownNow()
+    }
+
+    /** A fault in one round must not end the rounds: the executor stops a task that throws. */
+    @Suppress("TooGenericExceptionCaught")
+    private fun runRound() {
+        try {
+            round()
+            (state.choosePeers() + seeds()).filter(inFlight::add).forEach { peer ->
+                workers.execute { runExchange(peer) }
+            }
+        } catch (e: RuntimeException) {
+            log.error("gossip round failed", e)
+        }
+    }
+
+    private fun runExchange(peer: String) {
+        try {
+            exchange(peer)
+        } finally {
+            inFlight.remove(peer)
+        }
+    }
+
+    /** A seed is used until a peer is known, and now and then to rejoin a fleet that has split. */
+    private fun seeds(): List<String> {
+        val alone = state.read { table, now -> table.view(now).none { it.incarnation != 0L && it.id != table.self.id } }
+        val due = rounds++ % SEED_ROUNDS == 0
+        return if (alone || due) listOfNotNull(settings.seeds.randomOrNull(random)) else emptyList()
+    }
+
+    private companion object {
+        const val SEED_ROUNDS = 30
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/membership/GossipService.kt
@@ -0,0 +1,76 @@
+package fireflyhinge.daemon.membership
+
+import fireflyhinge.config.ConfigDigest
+import fireflyhinge.config.ConfigDigestSource
+import fireflyhinge.membership.GossipMessage
+import fireflyhinge.membership.Member
+import fireflyhinge.membership.Membership
+import fireflyhinge.peer.PeerEndpoint
+import fireflyhinge.peer.PeerTransport
+import fireflyhinge.store.Store
+import fireflyhinge.time.MonotonicClock
+import kotlin.random.Random
+
+/**
+ * This VM's membership: once a second it exchanges news with two random peers and reads the VM list when it is due.
+ * Call [attach] before [start].
+ *
+ * @param openRequests caller requests in flight.
+ */
+class GossipService(
+    settings: GossipSettings,
+    store: Store,
+    peers: PeerTransport,
+    clock: MonotonicClock = MonotonicClock.SYSTEM,
+    random: Random = Random.Default,
+    private val openRequests: () -> Int = { 0 },
+) : Membership,
+    AutoCloseable {
+    private val state = MembershipState(settings.self, clock, random)
+    private val vmList = VmListReader(store, state, clock)
+    private val exchanges = GossipExchanges(settings.timeoutMillis, state, peers) { config }
+    private val loop = GossipLoop(settings, state, random, round = ::beforeRound, exchange = exchanges::exchange)
+
+    @Volatile
+    private var config: ConfigDigestSource = NoConfig
+
+    /** Handler of `POST /peer/v1/gossip`. */
+    val endpoint = PeerEndpoint(GossipExchanges.PATH, GossipMessage::class.java, exchanges::onMessage)
+
+    /** Changes to the table that other parts of the daemon report. */
+    val reports = MembershipReports(state)
+
+    /** Carries the digest of [source] in gossip and tells it about differences. */
+    fun attach(source: ConfigDigestSource) {
+        config = source
+    }
+
+    /** Starts the rounds. */
+    fun start() = loop.start()
+
+    override fun self(): Member = state.read { table, now -> checkNotNull(table.view(table.self.id, now)) }
+
+    override fun members(): List<Member> = state.read { table, now -> table.view(now) }
+
+    override fun member(id: String): Member? = state.read { table, now -> table.view(id, now) }
+
+    override fun isolated(): Boolean = state.isolated()
+
+    override fun provenDead(vm: String, incarnation: Long): Boolean =
+        state.read { table, _ -> table.provenDead(vm, incarnation) }
+
+    override fun close() = loop.close()
+
+    private fun beforeRound() {
+        vmList.readIfDue()
+        val isolated = state.isolated()
+        val digest = config.digest().toString()
+        state.updateSelf { it.copy(openRequests = openRequests(), isolated = isolated, configDigest = digest) }
+    }
+
+    private object NoConfig : ConfigDigestSource {
+        override fun digest() = ConfigDigest()
+
+        override fun onDifference(peer: String) = Unit
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/membership/MembershipReports.kt
@@ -0,0 +1,41 @@
+package fireflyhinge.daemon.membership
+
+import com.fasterxml.jackson.core.JsonProcessingException
+import fireflyhinge.Json
+import fireflyhinge.config.Fence
+import fireflyhinge.membership.MemberState
+import fireflyhinge.store.StoredObject
+import org.slf4j.LoggerFactory
+
+/** Entry points through which other parts of the daemon tell the membership what they have observed. */
+class MembershipReports internal constructor(private val state: MembershipState) {
+    private val log = LoggerFactory.getLogger(javaClass)
+
+    /** This VM begins or, if [draining] is false, ends draining. Peers learn it within a few rounds. */
+    fun setDraining(draining: Boolean) =
+        state.updateSelf { it.copy(state = if (draining) MemberState.DRAINING else MemberState.LIVE) }
+
+    /** Whether the VM list marks this VM as leaving, so that it must drain. */
+    fun listedLeaving(): Boolean = state.read { table, _ -> table.selfLeaving() }
+
+    /** A message to [vm] failed; [refused] if its host refused the connection. */
+    fun onFailed(vm: String, refused: Boolean) = state.update { updates, now -> updates.onFailed(vm, refused, now) }
+
+    /** [vm] answered a message. */
+    fun onAnswered(vm: String) = state.update { updates, now -> updates.onHeard(vm, now) }
+
+    /** The store answered a call of another part of the daemon. */
+    fun onStoreReached() = state.onStoreReached()
+
+    /** An object `fences/<vm>` arrived. A fence that cannot be read is left out, since it proves nothing. */
+    fun onFence(stored: StoredObject) {
+        val fence =
+            try {
+                Json.decode<Fence>(stored.value)
+            } catch (e: JsonProcessingException) {
+                log.warn("{} version {} is not a fence: {}", stored.name, stored.version, e.originalMessage)
+                return
+            }
+        if (!fence.deleted) state.update { updates, _ -> updates.onFence(fence.name, fence.incarnation) }
+    }
+}
