Serve streamed model requests over HTTP through the ports

Cause: callers had no way into the daemon. Jetty cannot be resolved, and a request has to hold quota, a ticket and engine memory only as long as its caller waits. Ruled out: one Tomcat error page per status, since faults found before the servlet never reach it; reading the socket beside Tomcat to detect departed callers, since it would lose pipelined bytes. Change: HttpHost with Javalin's servlet in Tomcat and numbered JSON errors; the pipeline charge, place, prefill, import, decode with attempts, cleanup and crash verdicts; /v1/chat/completions and /v1/models.

--- a/core/src/main/kotlin/fireflyhinge/result/Outcome.kt
+++ b/core/src/main/kotlin/fireflyhinge/result/Outcome.kt
@@ -16,3 +16,10 @@
         is Outcome.Success -> Outcome.Success(transform(value))
         is Outcome.Failure -> this
     }
+
+/** Continues with [next] after a success and keeps a failure as it is. */
+inline fun <T, R> Outcome<T>.flatMap(next: (T) -> Outcome<R>): Outcome<R> =
+    when (this) {
+        is Outcome.Success -> next(value)
+        is Outcome.Failure -> this
+    }
--- a/core/src/main/kotlin/fireflyhinge/result/ResultCode.kt
+++ b/core/src/main/kotlin/fireflyhinge/result/ResultCode.kt
@@ -39,6 +39,7 @@
     UPSTREAM_CONNECT_FAILED(5003, 502, Run.NOT_RUN, "No connection to an upstream could be opened."),
     ANSWER_INTERRUPTED(5004, 502, Run.PARTIAL, "The answer was interrupted and could not be resumed."),
     UPSTREAM_TIMEOUT(5005, 504, Run.UNKNOWN, "The upstream did not answer in time."),
+    ATTEMPTS_FAILED(5006, 502, Run.UNKNOWN, "Every attempt failed; upstreams may have run part of the request."),
     OUTCOME_UNKNOWN(6001, 409, Run.UNKNOWN, "The call was sent to the upstream and its outcome is unknown."),
     IDEMPOTENCY_KEY_REUSED(6002, 422, Run.NOT_RUN, "The Idempotency-Key was used with another request."),
     CALL_IN_PROGRESS(6003, 409, Run.UNKNOWN, "A call with this Idempotency-Key is still running."),
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/retry/RetryBudgets.kt
@@ -0,0 +1,21 @@
+package fireflyhinge.retry
+
+import java.util.concurrent.ConcurrentHashMap
+
+/** Retry budgets of this daemon, one for each workspace and one for each pool. */
+class RetryBudgets {
+    private val workspaces = ConcurrentHashMap<String, RetryBudget>()
+    private val pools = ConcurrentHashMap<String, RetryBudget>()
+
+    /** Counts one accepted request of [workspace] on [pool]. */
+    fun accepted(workspace: String, pool: String) {
+        workspaces.budget(workspace).accepted()
+        pools.budget(pool).accepted()
+    }
+
+    /** Takes one retry from both budgets; false when either is used up. */
+    fun tryRetry(workspace: String, pool: String): Boolean =
+        workspaces.budget(workspace).tryRetry() && pools.budget(pool).tryRetry()
+
+    private fun ConcurrentHashMap<String, RetryBudget>.budget(name: String) = computeIfAbsent(name) { RetryBudget() }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/AttemptContext.kt
@@ -0,0 +1,36 @@
+package fireflyhinge.daemon.caller
+
+import fireflyhinge.engine.EngineFailure
+import fireflyhinge.engine.EngineRequestId
+import fireflyhinge.peer.PlaceReply
+
+/** What the steps of one attempt share. */
+internal data class AttemptContext(
+    val ports: CallerPorts,
+    val limits: PipelineLimits,
+    val job: ModelJob,
+    val caller: CallerLink,
+    val progress: AnswerProgress,
+    val placed: PlaceReply.Placed,
+    val id: EngineRequestId,
+) {
+    /** Why the attempt must not go on, or null when it may. */
+    fun blocked(): AttemptResult? =
+        when {
+            caller.departed() -> AttemptResult.Departed
+            !job.access.stillGranted(ports.config.current()) -> AttemptResult.KeyWithdrawn
+            !ports.placement.isValid(placed.ticket) -> AttemptResult.TicketExpired
+            else -> null
+        }
+
+    /** The result of a [failure] of the prefill replica. */
+    fun prefillFailed(failure: EngineFailure): AttemptResult =
+        failed(placed.prefillReplica, placed.prefillAddress, failure)
+
+    /** The result of a [failure] of the decode replica. */
+    fun decodeFailed(failure: EngineFailure): AttemptResult =
+        failed(placed.decodeReplica, placed.decodeAddress, failure)
+
+    private fun failed(replica: String, address: String, failure: EngineFailure): AttemptResult =
+        if (caller.departed()) AttemptResult.Departed else AttemptResult.Failed(replica, address, failure)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/AttemptResult.kt
@@ -0,0 +1,21 @@
+package fireflyhinge.daemon.caller
+
+import fireflyhinge.engine.EngineFailure
+
+/** How one attempt at a model request ended. */
+internal sealed interface AttemptResult {
+    /** The answer is complete. [ended] tells that the engine sent its explicit end and so holds nothing more. */
+    data class Done(val finishReason: String, val ended: Boolean) : AttemptResult
+
+    /** The replica [replica] at [address] failed; another attempt may succeed. */
+    data class Failed(val replica: String, val address: String, val failure: EngineFailure) : AttemptResult
+
+    /** The ticket expired before the attempt ended; the slot may be given to another request. */
+    data object TicketExpired : AttemptResult
+
+    /** The key was withdrawn. */
+    data object KeyWithdrawn : AttemptResult
+
+    /** The caller left. */
+    data object Departed : AttemptResult
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/PipelineLimits.kt
@@ -0,0 +1,42 @@
+package fireflyhinge.daemon.caller
+
+import fireflyhinge.config.Priority
+
+/**
+ * Deadlines of a model request, in milliseconds.
+ *
+ * @property attempts placements tried for one request.
+ * @property firstTokenMillis target for the first token; an interactive request that cannot meet it is refused early.
+ * @property chargeMillis longest wait of an interactive request for its tokens.
+ * @property batchMillis longest wait of a batch request for its tokens, and again for its placement.
+ * @property prefillMillis deadline of an empty prefill.
+ * @property prefillTokenMillis addition to [prefillMillis] for each prompt token.
+ * @property importMillis deadline of the KV transfer; the prefill replica keeps its result for less than a second.
+ * @property progressMillis longest silence of a decode stream.
+ * @property crashProbeMillis longest wait for the verdict whether a broken replica crashed.
+ */
+data class PipelineLimits(
+    val attempts: Int = 3,
+    val firstTokenMillis: Long = 1300,
+    val chargeMillis: Long = 1000,
+    val batchMillis: Long = 600_000,
+    val prefillMillis: Long = 3000,
+    val prefillTokenMillis: Double = 1.0,
+    val importMillis: Long = 800,
+    val progressMillis: Long = 2000,
+    val crashProbeMillis: Long = 500,
+) {
+    /** Longest wait for a charge. */
+    fun chargeWait(priority: Priority): Long = if (priority == Priority.BATCH) batchMillis else chargeMillis
+
+    /** Longest wait for a placement, [elapsed] milliseconds after the request came. */
+    fun placeWait(priority: Priority, elapsed: Long): Long =
+        if (priority == Priority.BATCH) batchMillis else maxOf(MIN_PLACE_MILLIS, firstTokenMillis - elapsed)
+
+    /** Deadline of a prefill of [tokens]. */
+    fun prefillWait(tokens: Int): Long = prefillMillis + (tokens * prefillTokenMillis).toLong()
+
+    private companion object {
+        const val MIN_PLACE_MILLIS = 100L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/http/ApiErrors.kt
@@ -0,0 +1,38 @@
+package fireflyhinge.daemon.http
+
+import fireflyhinge.result.Outcome
+import fireflyhinge.result.ResultCode
+import io.javalin.config.JavalinConfig
+import io.javalin.http.Context
+import io.javalin.http.HttpResponseException
+import org.slf4j.LoggerFactory
+
+private val log = LoggerFactory.getLogger("fireflyhinge.daemon.http.ApiErrors")
+private const val MILLIS = 1000
+private const val REQUEST_ID = "fireflyhinge.request_id"
+
+/** Id of the request in [this] context; made at the first call. */
+fun Context.requestId(): String = attribute<String>(REQUEST_ID) ?: newRequestId().also { attribute(REQUEST_ID, it) }
+
+/** Answers with the numbered error of [failure]; must be called before any byte of the answer was sent. */
+fun Context.fail(failure: Outcome.Failure) {
+    status(failure.code.httpStatus)
+    failure.retryAfterMillis?.let { header("Retry-After", ((it + MILLIS - 1) / MILLIS).toString()) }
+    contentType(JSON_TYPE)
+    result(errorBody(failure.code, failure.detail, requestId()))
+}
+
+/** Gives unknown paths, wrong methods and unexpected exceptions of an app their numbered error. */
+fun JavalinConfig.useNumberedErrors() {
+    startup.showJavalinBanner = false
+    startup.startupWatcherEnabled = false
+    http.prefer405over404 = true
+    http.compressionStrategy = io.javalin.compression.CompressionStrategy.NONE
+    routes.exception(HttpResponseException::class.java) { e, ctx ->
+        ctx.fail(Outcome.Failure(codeOfStatus(e.status)))
+    }
+    routes.exception(Exception::class.java) { e, ctx ->
+        log.error("request {} failed with an unexpected exception", ctx.requestId(), e)
+        ctx.fail(Outcome.Failure(ResultCode.INTERNAL))
+    }
+}
