--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/HttpReply.kt
@@ -0,0 +1,4 @@
+package fireflyhinge.daemon.outbound
+
+/** A complete answer. */
+internal data class HttpReply(val status: Int, val body: String)
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/OutboundHttp.kt
@@ -0,0 +1,78 @@
+package fireflyhinge.daemon.outbound
+
+import okhttp3.Call
+import okhttp3.ConnectionPool
+import okhttp3.Dispatcher
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+
+/**
+ * HTTP calls to the store and to engines. A call is sent at most once, unless nothing was sent or it is idempotent;
+ * then one more attempt is made on a new connection, because open connections may be silent while new ones work.
+ *
+ * @param connectMillis limit for opening a connection.
+ * @param traceparent gives the W3C trace context of the calling thread, or null.
+ */
+class OutboundHttp(connectMillis: Long = 1_000, private val traceparent: () -> String? = { null }) : AutoCloseable {
+    private val executor = Executors.newCachedThreadPool { Thread(it, "outbound-http").apply { isDaemon = true } }
+    private val pooled =
+        OkHttpClient
+            .Builder()
+            .retryOnConnectionFailure(false)
+            .followRedirects(false)
+            .connectTimeout(connectMillis, TimeUnit.MILLISECONDS)
+            // Each call has its own limit; this one only ends reads that nobody waits for any more.
+            .readTimeout(STRAY_READ_SECONDS, TimeUnit.SECONDS)
+            .connectionPool(ConnectionPool(MAX_IDLE, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
+            .dispatcher(
+                Dispatcher(executor).apply {
+                    maxRequests = MAX_CALLS
+                    maxRequestsPerHost = MAX_CALLS
+                },
+            ).addNetworkInterceptor(SendMarker)
+            .build()
+    private val unpooled = pooled.newBuilder().connectionPool(ConnectionPool(0, 1, TimeUnit.SECONDS)).build()
+
+    /** Sends [request] and waits for the whole answer, at most [timeoutMillis] for each attempt. */
+    internal fun exchange(request: Request, timeoutMillis: Long, idempotent: Boolean): Exchange {
+        val first = attempt(request = request, timeoutMillis = timeoutMillis, newConnection = false)
+        val again = first is Exchange.NotSent || (first is Exchange.NoAnswer && idempotent)
+        return if (again) attempt(request = request, timeoutMillis = timeoutMillis, newConnection = true) else first
+    }
+
+    private fun attempt(request: Request, timeoutMillis: Long, newConnection: Boolean): Exchange {
+        val callback = ReplyCallback(SendMark())
+        val call = open(request = request, mark = callback.mark, newConnection = newConnection)
+        call.timeout().timeout(timeoutMillis, TimeUnit.MILLISECONDS)
+        call.enqueue(callback)
+        return try {
+            callback.exchange.get()
+        } catch (_: InterruptedException) {
+            call.cancel()
+            Thread.currentThread().interrupt()
+            Exchange.Interrupted
+        }
+    }
+
+    /** Prepares a call that sets [mark] when it sends. */
+    internal fun open(request: Request, mark: SendMark, newConnection: Boolean): Call {
+        val marked = request.newBuilder().tag(SendMark::class.java, mark)
+        traceparent()?.let { marked.header("traceparent", it) }
+        return (if (newConnection) unpooled else pooled).newCall(marked.build())
+    }
+
+    override fun close() {
+        pooled.dispatcher.cancelAll()
+        pooled.connectionPool.evictAll()
+        executor.shutdown()
+    }
+
+    private companion object {
+        const val MAX_CALLS = 10_000
+        const val MAX_IDLE = 128
+        const val KEEP_ALIVE_SECONDS = 30L
+        const val STRAY_READ_SECONDS = 120L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/ReplyCallback.kt
@@ -0,0 +1,27 @@
+package fireflyhinge.daemon.outbound
+
+import okhttp3.Call
+import okhttp3.Callback
+import okhttp3.Response
+import java.io.IOException
+import java.util.concurrent.CompletableFuture
+
+/** Reads the whole answer of one call. */
+internal class ReplyCallback(val mark: SendMark) : Callback {
+    /** Completed exactly once. */
+    val exchange = CompletableFuture<Exchange>()
+
+    override fun onFailure(call: Call, e: IOException) {
+        exchange.complete(if (mark.sent) Exchange.NoAnswer(e.summary()) else Exchange.NotSent(e.summary()))
+    }
+
+    override fun onResponse(call: Call, response: Response) {
+        exchange.complete(
+            try {
+                Exchange.Answered(HttpReply(status = response.code, body = response.use { it.body.string() }))
+            } catch (e: IOException) {
+                Exchange.NoAnswer(e.summary())
+            },
+        )
+    }
+}
