Add pair leases, quota buckets and their daemon services

Cause: shard ownership and quota had interfaces and messages only. A successor replacement without a bound on the owner's lease was ruled out too: its reply may be lost while the write takes effect. LeaseRequest and LeaseReply carry the successor's incarnation and a stamp that the owner echoes, so that a late request does not count as a sign of life.

--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/lease/LeaseBook.kt
@@ -0,0 +1,77 @@
+package fireflyhinge.lease
+
+import fireflyhinge.peer.LeaseReply
+import fireflyhinge.peer.LeaseRequest
+
+/**
+ * Rights and promises of one process for the shards of its region: all rules of the pair lease, without I/O. Every
+ * method takes the process's monotonic time in nanoseconds. Not thread-safe.
+ */
+class LeaseBook(
+    self: ProcessId,
+    region: String,
+    shardCount: Int,
+    startedAt: Long,
+    private val times: LeaseTimes = LeaseTimes(),
+) {
+    private val state = LeaseState(self, region, shardCount, startedAt, times)
+    private val writer = MapWriter(state)
+    private val takeovers = Takeovers(state)
+    private val promises = PromiseHandler(state)
+    private val requests = LeaseRequests(state)
+    private var lastBeat = startedAt
+
+    /** Newest copy of the region's map that this process has learned. */
+    val copy: MapCopy? get() = state.copy
+
+    /** Whether a peer knows a newer map than [copy]. */
+    val behind: Boolean
+        get() = state.entries.withIndex().any { (shard, entry) -> state.successors.of(shard).knownEpoch > entry.epoch }
+
+    /** Learns [newer] unless an equal or newer copy is known. Returns whether it was newer. */
+    fun learn(newer: MapCopy, now: Long): Boolean = writer.learn(newer, now)
+
+    /** Epoch under which this process may act for [shard], or null. It is the same while the owner stays the same. */
+    fun actingEpoch(shard: Int, now: Long): Long? {
+        val lease = state.owners.all[shard] ?: return null
+        val awake = now - lastBeat <= times.gap && state.started(now)
+        return lease.entry.since.takeIf { awake && now < lease.until && now >= state.successors.of(shard).until }
+    }
+
+    /** Runs once per pass of the loop: notices pauses and evidence. */
+    fun beat(view: RegionView, storeAnswers: Boolean, now: Long) {
+        expireAfterGap(now)
+        state.owners.useEvidence(view.dead, now)
+        takeovers.onEvidence(view, storeAnswers, writer.writing, now)
+    }
+
+    private fun expireAfterGap(now: Long) {
+        if (now - lastBeat > times.gap) {
+            state.owners.expireAll(now)
+            state.successors.expireAll(now)
+        }
+        lastBeat = now
+    }
+
+    /** Answers an owner's request. */
+    fun handle(request: LeaseRequest, now: Long): LeaseReply {
+        expireAfterGap(now)
+        return promises.handle(request, now)
+    }
+
+    /** Requests to send now: one to each successor, and one to each replaced successor that must give up its rights. */
+    fun requests(view: RegionView): List<OutgoingLease> = requests.next(takeovers.releasesToAsk(view))
+
+    /** Takes the [reply] to [outgoing], which was sent at [sentAt] by this process's clock. */
+    fun answered(outgoing: OutgoingLease, reply: LeaseReply, sentAt: Long, now: Long) =
+        requests.answered(outgoing, reply, sentAt, now)
+
+    /** Whether [nextWrite] would return a write. */
+    fun wantsWrite(view: RegionView, now: Long): Boolean = state.started(now) && writer.plan(view, now) != null
+
+    /** The write to send to the store now, or null. The caller ends it by [learn] or [writeFailed]. */
+    fun nextWrite(view: RegionView, now: Long): MapWrite? = if (state.started(now)) writer.next(view, now) else null
+
+    /** The last write did not reach the store, or with [uncertain] it may still take effect. */
+    fun writeFailed(uncertain: Boolean) = writer.failed(uncertain)
+}
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/lease/LeaseRequests.kt
@@ -0,0 +1,37 @@
+package fireflyhinge.lease
+
+import fireflyhinge.peer.LeaseReply
+import fireflyhinge.peer.LeaseRequest
+
+/** Builds an owner's lease requests and takes their answers. Not thread-safe. */
+internal class LeaseRequests(private val state: LeaseState) {
+    /** One request to each successor, joined with the [releases] to ask of replaced successors. */
+    fun next(releases: Map<ProcessId, List<Pair<Int, Long>>>): List<OutgoingLease> {
+        val renewals =
+            state.owners.all.entries
+                .filter { (_, lease) -> !lease.alone && !lease.writing }
+                .groupBy({ checkNotNull(it.value.entry.successor) }, { it.key to it.value.entry.epoch })
+        return (renewals.keys + releases.keys).map { to ->
+            OutgoingLease(to = to, request = request(to, renewals[to].orEmpty() + releases[to].orEmpty()))
+        }
+    }
+
+    private fun request(to: ProcessId, shards: List<Pair<Int, Long>>) =
+        LeaseRequest(
+            owner = state.self.vm,
+            incarnation = state.self.incarnation,
+            region = state.region,
+            shards = shards.toMap(),
+            successorIncarnation = to.incarnation,
+            echo = state.peers.stampOf(to),
+        )
+
+    /** Takes the [reply] to [outgoing], which was sent at [sentAt]. */
+    fun answered(outgoing: OutgoingLease, reply: LeaseReply, sentAt: Long, now: Long) {
+        state.peers.answered(outgoing, reply)
+        outgoing.request.shards.filterKeys { it in reply.promised }.forEach { (shard, epoch) ->
+            val asked = state.owners.all[shard]?.entry?.successor == outgoing.to
+            if (asked) state.owners.promised(shard, epoch, sentAt, now)
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/lease/MapWriter.kt
@@ -0,0 +1,73 @@
+package fireflyhinge.lease
+
+/** Chooses the changes that one process makes to its region's map and follows them until their result is known. */
+internal class MapWriter(private val state: LeaseState) {
+    private val takeovers = TakeoverWrites(state)
+    private val balance = BalanceWatch(state)
+    private var pending: MapWrite? = null
+    private var uncertain = false
+
+    /** Shards of the write whose result is not known. */
+    val writing: Set<Int> get() = pending?.changes.orEmpty().keys
+
+    /** Learns [newer] if it is newer, which also settles a write of an older version. */
+    fun learn(newer: MapCopy, now: Long): Boolean {
+        if (newer.version <= (state.copy?.version ?: Long.MIN_VALUE)) return false
+        state.copy = newer
+        state.successors.learn(newer.map, pending?.changes.orEmpty(), now)
+        state.owners.learn(newer.map, now)
+        state.peers.retain(newer.map.shards.flatMap { it.former + listOfNotNull(it.successor) }.toSet())
+        settle()
+        return true
+    }
+
+    private fun settle() {
+        writing.forEach(state.owners::endWrite)
+        pending = null
+        uncertain = false
+    }
+
+    /** Ends a write that did not take effect; with [maybe] it is repeated until the store tells. */
+    fun failed(maybe: Boolean) {
+        if (pending == null) return
+        uncertain = uncertain || maybe
+        if (!uncertain) settle()
+    }
+
+    /** The next write, or the one whose result is not known. It counts as sent from now on. */
+    fun next(view: RegionView, now: Long): MapWrite? = plan(view, now)?.also { if (it !== pending) begin(it, now) }
+
+    /** What [next] would return. */
+    fun plan(view: RegionView, now: Long): MapWrite? {
+        pending?.let { return it }
+        val known = state.copy ?: return initial(view)
+        val draft = MapDraft(known.map, view)
+        ownChanges(view, draft, now)
+        takeovers.add(view, draft, now)
+        val changes = draft.changes
+        if (changes.isEmpty()) return null
+        return MapWrite(version = known.version, map = known.map.with(changes), changes = changes)
+    }
+
+    private fun initial(view: RegionView): MapWrite? {
+        if (view.candidates.none { it.process == state.self }) return null
+        val map = InitialMap.plan(state.region, state.shardCount, view)
+        return MapWrite(version = null, map = map, changes = emptyMap())
+    }
+
+    private fun begin(write: MapWrite, now: Long) {
+        pending = write
+        write.changes.forEach { (shard, entry) ->
+            val stop = entry.owner != state.self
+            state.owners.beginWrite(shard, stop = stop, givesRight = entry.successor != null, now = now)
+        }
+    }
+
+    private fun ownChanges(view: RegionView, draft: MapDraft, now: Long) {
+        val rules = OwnerRules(state.self, state.times, view)
+        state.owners.all.forEach { (shard, lease) ->
+            rules.change(shard, lease, draft, now)?.let { draft.set(shard, it) }
+        }
+        if (balance.unbalanced(draft, now)) rules.rebalance(state.owners.all, draft, now)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/lease/OutgoingLease.kt
@@ -0,0 +1,6 @@
+package fireflyhinge.lease
+
+import fireflyhinge.peer.LeaseRequest
+
+/** A lease request and the process that it is meant for. */
+data class OutgoingLease(val to: ProcessId, val request: LeaseRequest)
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/lease/Promise.kt
@@ -0,0 +1,20 @@
+package fireflyhinge.lease
+
+/**
+ * A successor's state for one shard.
+ *
+ * @property knownEpoch highest epoch that this process has heard of.
+ * @property until moment before which this process does not act.
+ * @property runStart start of the unbroken series of promises to [owner] under [epoch].
+ * @property aliveAt moment at which the owner was certainly alive: the owner echoed an answer sent then.
+ * @property evidenceAt moment at which evidence of the owner's death was first seen.
+ */
+internal data class Promise(
+    val knownEpoch: Long = 0,
+    val until: Long = Long.MIN_VALUE,
+    val owner: ProcessId? = null,
+    val epoch: Long = 0,
+    val runStart: Long? = null,
+    val aliveAt: Long? = null,
+    val evidenceAt: Long? = null,
+)
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/lease/PromiseHandler.kt
@@ -0,0 +1,31 @@
+package fireflyhinge.lease
+
+import fireflyhinge.peer.LeaseReply
+import fireflyhinge.peer.LeaseRequest
+
+/** Answers owners' lease requests. Not thread-safe. */
+internal class PromiseHandler(private val state: LeaseState) {
+    /** Promises what may be promised at [now]. */
+    fun handle(request: LeaseRequest, now: Long): LeaseReply {
+        val meant = request.region == state.region && request.successorIncarnation == state.self.incarnation
+        if (!meant) return LeaseReply(promised = emptySet(), refused = request.shards.mapValues { Long.MAX_VALUE })
+        if (!state.started(now)) return LeaseReply(promised = emptySet(), stamp = now)
+        val promised = request.shards.filter { (shard, epoch) -> promise(shard, epoch, request, now) }.keys
+        val refused = (request.shards.keys - promised).associateWith { state.successors.of(it).knownEpoch }
+        return LeaseReply(promised = promised, refused = refused, stamp = now)
+    }
+
+    private fun promise(shard: Int, epoch: Long, request: LeaseRequest, now: Long): Boolean {
+        val owner = ProcessId(vm = request.owner, incarnation = request.incarnation)
+        if (contradicts(shard, epoch, owner)) return false
+        if (!state.successors.promise(shard, owner, epoch, request.echo, now)) return false
+        state.owners.yieldTo(shard, epoch)
+        return true
+    }
+
+    private fun contradicts(shard: Int, epoch: Long, owner: ProcessId): Boolean {
+        val known = state.entries.getOrNull(shard)
+        val taken = state.owners.all[shard]?.let { !it.confirmed && it.entry.epoch > epoch } ?: false
+        return taken || (known != null && (known.epoch > epoch || known.epoch == epoch && known.owner != owner))
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/lease/SuccessorSide.kt
@@ -0,0 +1,84 @@
+package fireflyhinge.lease
+
+/** The promises of one process. Not thread-safe. */
+internal class SuccessorSide(private val self: ProcessId, private val times: LeaseTimes) {
+    private val promises = HashMap<Int, Promise>()
+
+    /** State for [shard]. */
+    fun of(shard: Int): Promise = promises[shard] ?: Promise()
+
+    /**
+     * Learns the entries of [map] and, where this process newly succeeds, leaves the owner time to ask. An entry that
+     * makes this process the owner and is none of [ownWrites] was written by an owner that had stopped, which ends
+     * the promises to it.
+     */
+    fun learn(map: ShardMap, ownWrites: Map<Int, ShardEntry>, now: Long) =
+        map.shards.forEachIndexed { shard, entry ->
+            val held = of(shard)
+            if (entry.successor == self && held.epoch < entry.epoch) {
+                promises[shard] = held.startUnder(entry, now)
+            } else if (entry.epoch > held.knownEpoch) {
+                val handedOver = entry.owner == self && ownWrites[shard] != entry
+                promises[shard] =
+                    held.copy(knownEpoch = entry.epoch, until = if (handedOver) Long.MIN_VALUE else held.until)
+            }
+        }
+
+    private fun Promise.startUnder(entry: ShardEntry, now: Long) =
+        Promise(
+            knownEpoch = maxOf(knownEpoch, entry.epoch),
+            until = maxOf(until, now + times.firstContact),
+            owner = entry.owner,
+            epoch = entry.epoch,
+        )
+
+    /**
+     * Promises to [owner] for [shard] under [epoch], or returns false if a higher epoch is known. [echo] is the moment
+     * of this process's answer that the owner echoed.
+     */
+    fun promise(shard: Int, owner: ProcessId, epoch: Long, echo: Long?, now: Long): Boolean {
+        val held = of(shard)
+        if (epoch < held.knownEpoch) return false
+        val continues = held.owner == owner && held.epoch == epoch && now <= held.until
+        val runStart = held.runStart?.takeIf { continues } ?: now
+        promises[shard] =
+            Promise(
+                knownEpoch = epoch,
+                until = now + times.successor,
+                owner = owner,
+                epoch = epoch,
+                runStart = runStart,
+                aliveAt = echo?.takeIf { it in runStart..now } ?: held.aliveAt?.takeIf { continues },
+                evidenceAt = held.evidenceAt.takeIf { continues },
+            )
+        return true
+    }
+
+    /** Records when evidence that the owner of [shard] is dead was first seen. */
+    fun noteEvidence(shard: Int, now: Long) {
+        val held = of(shard)
+        if (held.evidenceAt == null) promises[shard] = held.copy(evidenceAt = now)
+    }
+
+    /** Whether this process has promised for so long that the successors before it have lost their rights. */
+    fun hasHistory(shard: Int): Boolean {
+        val held = of(shard)
+        val start = held.runStart ?: return false
+        val alive = held.aliveAt ?: return false
+        return alive - start >= times.history
+    }
+
+    /** Whether the evidence of the owner's death came soon enough after the last proof of its life. */
+    fun evidenceInTime(shard: Int): Boolean {
+        val held = of(shard)
+        val alive = held.aliveAt ?: return false
+        val evidence = held.evidenceAt ?: return false
+        return evidence - alive <= times.evidence
+    }
+
+    /** Gives up the rights that come from promises after a pause and restarts the waiting times. */
+    fun expireAll(now: Long) =
+        promises.replaceAll { _, held ->
+            held.copy(until = maxOf(held.until, now + times.successor), runStart = null, aliveAt = null)
+        }
+}
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/lease/TakeoverRules.kt
@@ -0,0 +1,36 @@
+package fireflyhinge.lease
+
+/** Decides when a process may take a shard from its owner. */
+internal class TakeoverRules(private val state: LeaseState, private val view: RegionView) {
+    private val self = state.self
+    private val times = state.times
+    private val successors = state.successors
+
+    /** Whether the successor may write itself as owner: its promise has expired and no other process has a right. */
+    fun byTime(shard: Int, entry: ShardEntry, now: Long): Boolean {
+        val promise = successors.of(shard)
+        return entry.successor == self && promise.knownEpoch == entry.epoch && now > promise.until &&
+            (successors.hasHistory(shard) || formerExcluded(shard, entry))
+    }
+
+    /** Whether the successor may act at once, without the store. */
+    fun byEvidence(shard: Int, entry: ShardEntry, now: Long): Boolean =
+        view.dead(entry.owner) && byTime(shard, entry, now) && successors.evidenceInTime(shard)
+
+    /** Whether every process named in [entry] is dead, so that any other may write itself as owner. */
+    fun orphaned(shard: Int, entry: ShardEntry): Boolean =
+        view.dead(entry.owner) && entry.successor?.let(view.dead) != false && formerExcluded(shard, entry)
+
+    /** Time that this process leaves to better claimants of an orphaned shard; null if it must not claim. */
+    fun claimDelay(shard: Int): Long? {
+        val ranked = view.candidates.sortedBy { ShardHash.hash("$shard ${it.process.vm}") }.map { it.process }
+        val rank = ranked.indexOf(self)
+        return if (rank < 0) null else times.successor + rank * times.renewal
+    }
+
+    /** Replaced successors that must still be asked before this process may take [shard]. */
+    fun formerToAsk(shard: Int, entry: ShardEntry): List<ProcessId> =
+        entry.former.filterNot { it == self || view.dead(it) || state.peers.released(shard, entry.epoch, it) }
+
+    private fun formerExcluded(shard: Int, entry: ShardEntry) = formerToAsk(shard, entry).isEmpty()
+}
--- a/core/src/main/kotlin/fireflyhinge/peer/LeaseRequest.kt
+++ b/core/src/main/kotlin/fireflyhinge/peer/LeaseRequest.kt
@@ -3,10 +3,16 @@
 /**
  * An owner's request that its successor does not act for the shards. Shards map to the epoch of the shard map that
  * names the two.
+ *
+ * @property successorIncarnation incarnation of the successor in the shard map; another process must not promise.
+ * @property echo [LeaseReply.stamp] of the newest answer that the owner had from this process, or null. It proves that
+ * the owner was alive after that moment, however late the request arrives.
  */
 data class LeaseRequest(
     val owner: String,
     val incarnation: Long,
     val region: String,
     val shards: Map<Int, Long>,
+    val successorIncarnation: Long,
+    val echo: Long? = null,
 )
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/quota/ChargeBook.kt
@@ -0,0 +1,99 @@
+package fireflyhinge.quota
+
+import fireflyhinge.config.Priority
+import fireflyhinge.peer.ChargeReply
+import fireflyhinge.peer.ChargeRequest
+import fireflyhinge.peer.SettleRequest
+import java.util.concurrent.TimeUnit
+
+/** The bucket of one (workspace, region) under one epoch, and the charges taken from it. Not thread-safe. */
+class ChargeBook(private val epoch: Long, limits: QuotaLimits, level: Double, now: Long) {
+    private val bucket = TokenBucket(limits, level = level, at = now)
+    private val charges = ReservationTable()
+
+    /** Tokens that may be charged without a wait; negative while reservations wait. */
+    val level: Double get() = bucket.level
+
+    /** Lets tokens accrue until [now] under the old limits and then uses [limits]. */
+    fun advance(limits: QuotaLimits, now: Long) = bucket.configure(limits, now)
+
+    /** Lets tokens accrue until [now]. */
+    fun accrue(now: Long) = bucket.advance(now)
+
+    /**
+     * Debits [request] once, however often it is sent. A repeated request learns the wait that remains. If it comes
+     * after its tokens were ready, it is charged anew: tokens that lay unused would otherwise add to a full bucket.
+     */
+    fun charge(request: ChargeRequest, suspect: Boolean, now: Long): ChargeReply {
+        val held = charges[request.chargeId]
+        return when {
+            charges.isSettled(request.chargeId) -> ChargeReply.RateExceeded(retryAfterMillis = 0L)
+            held == null -> chargeAnew(request, suspect, now)
+            bucket.past(held.place) <= tolerance -> granted(held, suspect)
+            else -> {
+                bucket.add(held.tokens)
+                chargeAnew(request.copy(tokens = held.tokens), suspect, now)
+            }
+        }
+    }
+
+    private fun chargeAnew(request: ChargeRequest, suspect: Boolean, now: Long): ChargeReply {
+        val depth = bucket.limits.depth
+        val wait = bucket.waitForMore(request.tokens)
+        val refusal =
+            when {
+                request.tokens > depth -> ChargeReply.ExceedsBurst(depth)
+                wait > longestWait(request) -> ChargeReply.RateExceeded(retryAfterMillis = millis(wait))
+                else -> null
+            }
+        if (refusal != null) {
+            charges.settle(request.chargeId)
+            return refusal
+        }
+        val made = Reservation(tokens = request.tokens, place = bucket.debit(request.tokens), madeAt = now)
+        charges[request.chargeId] = made
+        return granted(made, suspect)
+    }
+
+    private fun granted(held: Reservation, suspect: Boolean) =
+        ChargeReply.Granted(epoch = epoch, waitMillis = millis(bucket.waitFor(held.place)), suspect = suspect)
+
+    /** Returns the unused part of a charge, at most what was charged, and tells how many tokens were put back. */
+    fun settle(request: SettleRequest): Double {
+        val held = charges.settle(request.chargeId) ?: return 0.0
+        return bucket.add(request.unusedTokens.coerceIn(0.0, held.tokens))
+    }
+
+    /**
+     * Takes up to [tokens] for another region while the level stays above half of the depth. The bucket also gives up
+     * what it accrues while the tokens travel, since they are used that much later.
+     */
+    fun lend(tokens: Double): Double {
+        val travel = bucket.limits.rate * QuotaLimits.USE_DELAY_SECONDS
+        val lent = minOf(tokens, bucket.level - travel - bucket.limits.depth / 2)
+        if (lent <= 0) return 0.0
+        bucket.debit(lent + travel)
+        return lent
+    }
+
+    /** Adds tokens that another region lent. */
+    fun borrow(tokens: Double): Double = bucket.add(tokens)
+
+    private val tolerance get() = bucket.limits.rate * LATE_SECONDS
+
+    private fun longestWait(request: ChargeRequest): Long {
+        val seconds = if (request.priority == Priority.BATCH) BATCH_WAIT_SECONDS else INTERACTIVE_WAIT_SECONDS
+        return minOf(TimeUnit.SECONDS.toNanos(seconds), TimeUnit.MILLISECONDS.toNanos(request.maxWaitMillis))
+    }
+
+    private fun millis(nanos: Long) = (nanos - 1) / NANOS_PER_MILLI + if (nanos > 0) 1 else 0
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+        const val INTERACTIVE_WAIT_SECONDS = 1L
+        const val BATCH_WAIT_SECONDS = 600L
+
+        /** Part of the 0.25 s between accrual and use that a repeated request may take; the asker uses the rest. */
+        const val LATE_SECONDS = 0.01
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/lease/LeaseLoop.kt
@@ -0,0 +1,38 @@
+package fireflyhinge.daemon.lease
+
+import org.slf4j.LoggerFactory
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+
+/** Thread that runs [pass] ten times a second; every tenth pass is due for renewals. */
+internal class LeaseLoop(private val pass: () -> Unit) : AutoCloseable {
+    private val thread =
+        Executors.newSingleThreadScheduledExecutor { Thread(it, "lease-loop").apply { isDaemon = true } }
+    private var passes = 0L
+
+    /** Whether this pass sends renewals. */
+    fun renewalDue(): Boolean = passes % PASSES_PER_RENEWAL == 0L
+
+    /** Starts the thread. */
+    fun start() {
+        thread.scheduleWithFixedDelay(::run, 0, PASS_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    @Suppress("TooGenericExceptionCaught") // A scheduled task that throws is never run again.
+    private fun run() {
+        try {
+            pass()
+        } catch (e: RuntimeException) {
+            log.error("a pass of the lease loop failed", e)
+        }
+        passes++
+    }
+
+    override fun close() = thread.shutdown()
+
+    private companion object {
+        const val PASS_MILLIS = 100L
+        const val PASSES_PER_RENEWAL = 10L
+        val log = LoggerFactory.getLogger(LeaseLoop::class.java)
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/lease/LeaseSender.kt
@@ -0,0 +1,53 @@
+package fireflyhinge.daemon.lease
+
+import fireflyhinge.lease.OutgoingLease
+import fireflyhinge.lease.ProcessId
+import fireflyhinge.peer.LeaseReply
+import fireflyhinge.peer.PeerResult
+import fireflyhinge.peer.PeerTransport
+import fireflyhinge.time.MonotonicClock
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.SynchronousQueue
+import java.util.concurrent.ThreadPoolExecutor
+import java.util.concurrent.TimeUnit
+
+/** Sends lease requests without blocking the loop, at most one at a time to each process. */
+internal class LeaseSender(private val transport: PeerTransport, private val clock: MonotonicClock) : AutoCloseable {
+    private val busy = ConcurrentHashMap.newKeySet<ProcessId>()
+    private val threads =
+        ThreadPoolExecutor(0, MAX_THREADS, 10, TimeUnit.SECONDS, SynchronousQueue(), { task ->
+            Thread(task, "lease-sender").apply { isDaemon = true }
+        }, ThreadPoolExecutor.DiscardPolicy())
+
+    /** Sends [outgoing]; [onReply] gets the answer and the time of sending. Nothing is sent while one is in flight. */
+    fun send(outgoing: OutgoingLease, onReply: (LeaseReply, Long) -> Unit) {
+        if (threads.activeCount >= MAX_THREADS || !busy.add(outgoing.to)) return
+        threads.execute {
+            try {
+                val sentAt = clock.nanos()
+                val result = post(outgoing)
+                if (result is PeerResult.Ok) onReply(result.value, sentAt)
+            } finally {
+                busy.remove(outgoing.to)
+            }
+        }
+    }
+
+    private fun post(outgoing: OutgoingLease) =
+        transport.post(
+            vm = outgoing.to.vm,
+            path = "/peer/v1/lease",
+            message = outgoing.request,
+            reply = LeaseReply::class.java,
+            timeoutMillis = TIMEOUT_MILLIS,
+        )
+
+    override fun close() = threads.shutdown()
+
+    private companion object {
+        const val MAX_THREADS = 64
+
+        /** Below the renewal interval, so that a lost message does not delay the next one. */
+        const val TIMEOUT_MILLIS = 900L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/lease/RegionShards.kt
@@ -0,0 +1,10 @@
+package fireflyhinge.daemon.lease
+
+/** What other services need to know about shards beyond ownership. */
+interface RegionShards {
+    /** Regions that have a shard map. A map is never deleted, so this set only grows. */
+    val regions: Set<String>
+
+    /** Shards of the own region for which this process may act at this moment. */
+    val actingShards: List<Int>
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/lease/RegionViews.kt
@@ -0,0 +1,26 @@
+package fireflyhinge.daemon.lease
+
+import fireflyhinge.lease.Candidate
+import fireflyhinge.lease.RegionView
+import fireflyhinge.lease.process
+import fireflyhinge.membership.MemberState
+import fireflyhinge.membership.Membership
+
+/** Builds the lease rules' view of the region from the member table. */
+internal object RegionViews {
+    /** The view of [membership]; a [draining] process is no candidate itself. */
+    fun of(membership: Membership, draining: Boolean): RegionView {
+        val self = membership.self()
+        val leaving = draining || self.state == MemberState.DRAINING
+        val candidates =
+            membership.members()
+                .filter { it.region == self.region && if (it.id == self.id) !leaving else it.state == MemberState.LIVE }
+                .map { Candidate(process = it.process, failureDomain = it.failureDomain) }
+                .sortedBy { it.process.vm }
+        return RegionView(
+            candidates = candidates,
+            draining = leaving,
+            dead = { membership.provenDead(it.vm, it.incarnation) },
+        )
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/lease/ShardService.kt
@@ -0,0 +1,106 @@
+package fireflyhinge.daemon.lease
+
+import fireflyhinge.lease.LeaseBook
+import fireflyhinge.lease.ShardHash
+import fireflyhinge.lease.ShardOwnership
+import fireflyhinge.lease.process
+import fireflyhinge.membership.Membership
+import fireflyhinge.peer.LeaseRequest
+import fireflyhinge.peer.PeerEndpoint
+import fireflyhinge.peer.PeerTransport
+import fireflyhinge.store.Store
+import fireflyhinge.store.StoredObject
+import fireflyhinge.time.MonotonicClock
+
+/**
+ * Ownership of the shards of this daemon's region, kept by pair leases, and copies of all regions' shard maps.
+ *
+ * [start] starts the loop. [close] stops it and must come before the control listener is closed, because a refused
+ * connection counts as evidence that this process no longer acts.
+ */
+class ShardService(
+    private val membership: Membership,
+    transport: PeerTransport,
+    store: Store,
+    private val clock: MonotonicClock = MonotonicClock.SYSTEM,
+    private val settings: ShardSettings = ShardSettings(),
+) : ShardOwnership, RegionShards, AutoCloseable {
+    private val self = membership.self()
+    private val book =
+        LockedBook(LeaseBook(self.process, self.region, settings.shardCount, clock.nanos(), settings.times), clock)
+    private val maps = ShardMaps()
+    private val sender = LeaseSender(transport, clock)
+    private val mapStore = MapStore(store, self.region)
+    private val keeper = MapKeeper(store = mapStore, book = book, learn = ::learn)
+    private val loop = LeaseLoop(pass = ::pass)
+
+    @Volatile
+    private var draining = false
+
+    @Volatile
+    private var stopped = false
+
+    /** Endpoint that answers owners' lease requests. */
+    val endpoints: List<PeerEndpoint<*>> =
+        listOf(
+            PeerEndpoint("/peer/v1/lease", LeaseRequest::class.java) { request ->
+                book.use { now -> handle(request, now) }
+            },
+        )
+
+    /** Newest known shard map objects of all regions, for gossip. */
+    val mapObjects: List<StoredObject> get() = maps.objects
+
+    override val regions: Set<String> get() = maps.regions
+
+    override val actingShards: List<Int> get() = (0 until settings.shardCount).filter { actingEpoch(it) != null }
+
+    /** Starts the loop thread. */
+    fun start() = loop.start()
+
+    /** Begins to hand all shards to their successors; done when [actingShards] is empty. */
+    fun drain() {
+        draining = true
+    }
+
+    /** Stops acting and stops the loop. */
+    override fun close() {
+        stopped = true
+        loop.close()
+        sender.close()
+        mapStore.close()
+    }
+
+    /** Takes a copy of a shard map, for example from gossip; older copies and other objects are ignored. */
+    fun learn(copy: StoredObject) {
+        val newer = maps.learn(copy) ?: return
+        if (newer.map.region == self.region) book.use { now -> learn(newer, now) }
+    }
+
+    /** Reads the maps from the store at the next pass of the loop, for example after a `not_owner` answer. */
+    fun refresh() {
+        keeper.refreshWanted = true
+    }
+
+    override fun shardOf(key: String): Int = ShardHash.shardOf(key, settings.shardCount)
+
+    override fun actingEpoch(shard: Int): Long? = if (stopped) null else book.use { now -> actingEpoch(shard, now) }
+
+    override fun ownerOf(region: String, shard: Int): String? = maps.entry(region, shard)?.owner?.vm
+
+    override fun successorOf(region: String, shard: Int): String? = maps.entry(region, shard)?.successor?.vm
+
+    private fun pass() {
+        val view = RegionViews.of(membership, draining)
+        // An operator may have fenced this VM: others count it as dead and act.
+        if (view.dead(self.process)) stopped = true
+        book.use { now -> beat(view, mapStore.answers, now) }
+        if (stopped) return
+        if (loop.renewalDue()) {
+            book.use { requests(view) }.forEach { outgoing ->
+                sender.send(outgoing) { reply, sentAt -> book.use { now -> answered(outgoing, reply, sentAt, now) } }
+            }
+        }
+        mapStore.run { keeper.pass(view) }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/quota/QuotaService.kt
@@ -0,0 +1,114 @@
+package fireflyhinge.daemon.quota
+
+import fireflyhinge.config.ConfigSource
+import fireflyhinge.daemon.lease.RegionShards
+import fireflyhinge.lease.ShardOwnership
+import fireflyhinge.membership.Membership
+import fireflyhinge.peer.Accepted
+import fireflyhinge.peer.BorrowReply
+import fireflyhinge.peer.BorrowRequest
+import fireflyhinge.peer.ChargeReply
+import fireflyhinge.peer.ChargeRequest
+import fireflyhinge.peer.CrashReport
+import fireflyhinge.peer.PeerEndpoint
+import fireflyhinge.peer.PeerTransport
+import fireflyhinge.peer.SettleRequest
+import fireflyhinge.quota.QuotaShard
+import fireflyhinge.time.MonotonicClock
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+
+/**
+ * The quota buckets of the shards that this daemon owns.
+ * Quota is divided over the regions that have a shard map.
+ */
+class QuotaService(
+    private val ownership: ShardOwnership,
+    private val membership: Membership,
+    transport: PeerTransport,
+    config: ConfigSource,
+    private val regionShards: RegionShards,
+    private val clock: MonotonicClock = MonotonicClock.SYSTEM,
+) : AutoCloseable {
+    private val region = membership.self().region
+    private val limits = LimitSource(config, region, regionShards::regions)
+    private val shards = ConcurrentHashMap<Int, QuotaShard>()
+    private val borrower = Borrower(ownership, transport, clock, region, regionShards::regions)
+    private val opener =
+        Executors.newSingleThreadScheduledExecutor { Thread(it, "quota-opener").apply { isDaemon = true } }
+
+    /** Endpoints that serve askers and the owners in other regions. */
+    val endpoints: List<PeerEndpoint<*>> =
+        listOf(
+            PeerEndpoint("/peer/v1/charge", ChargeRequest::class.java, ::charge),
+            PeerEndpoint("/peer/v1/settle", SettleRequest::class.java, ::settle),
+            PeerEndpoint("/peer/v1/borrow", BorrowRequest::class.java, ::lend),
+            PeerEndpoint("/peer/v1/crash", CrashReport::class.java, ::crashed),
+        )
+
+    /** Charges [request] if this daemon may act for its workspace. */
+    fun charge(request: ChargeRequest): ChargeReply {
+        val number = QuotaKeys.shardOf(ownership, request.workspace)
+        val now = clock.nanos()
+        val epoch = ownership.actingEpoch(number) ?: return notOwner(number)
+        val limit = limits.of(request.workspace, now) ?: return ChargeReply.NotOwner(owner = null)
+        val shard = opened(number, epoch)
+        val reply = shard.charge(request, limit, epoch, now) ?: return notOwner(number)
+        if (reply.isShort()) {
+            borrower.borrow(request.workspace, number, request.tokens) { tokens ->
+                shard.borrow(request.workspace, tokens, epoch, clock.nanos())
+            }
+        }
+        return reply
+    }
+
+    /** Starts to open the epochs of acquired shards, so that their tokens accrue before the first charge. */
+    fun start() {
+        opener.scheduleWithFixedDelay({
+            regionShards.actingShards.forEach { number -> ownership.actingEpoch(number)?.let { opened(number, it) } }
+        }, 0, OPEN_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    /** Takes the unused part of a charge back. */
+    fun settle(request: SettleRequest): Accepted {
+        val shard = shards[QuotaKeys.shardOf(ownership, request.workspace)] ?: return Accepted(accepted = false)
+        shard.settle(request, clock.nanos())
+        return Accepted()
+    }
+
+    /** Records a replica crash; the successor does so too, so that suspects outlive the owner. */
+    fun crashed(report: CrashReport): Accepted {
+        shard(QuotaKeys.shardOf(ownership, report.workspace)).crashed(report, clock.nanos())
+        return Accepted()
+    }
+
+    private fun lend(request: BorrowRequest): BorrowReply {
+        val number = QuotaKeys.shardOf(ownership, request.workspace)
+        val now = clock.nanos()
+        val epoch = ownership.actingEpoch(number)
+        val limit = limits.of(request.workspace, now)
+        if (epoch == null || limit == null) return BorrowReply(tokens = 0.0)
+        return BorrowReply(opened(number, epoch).lend(request.workspace, request.tokens, limit, epoch, now))
+    }
+
+    private fun notOwner(number: Int) =
+        ChargeReply.NotOwner(owner = ownership.ownerOf(region, number).takeIf { it != membership.self().id })
+
+    private fun shard(number: Int): QuotaShard = shards.computeIfAbsent(number) { QuotaShard() }
+
+    private fun opened(number: Int, epoch: Long) = shard(number).also { it.open(epoch, clock.nanos()) }
+
+    override fun close() {
+        opener.shutdown()
+        borrower.close()
+    }
+
+    private companion object {
+        const val OPEN_MILLIS = 200L
+    }
+}
+
+/** Whether the workspace has fewer tokens than it was asked for. */
+private fun ChargeReply.isShort(): Boolean =
+    this is ChargeReply.RateExceeded || (this is ChargeReply.Granted && waitMillis > 0)
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/quota/QuotaTimes.kt
@@ -0,0 +1,28 @@
+package fireflyhinge.daemon.quota
+
+/** Time limits of the asker's side. */
+internal object QuotaTimes {
+    /**
+     * Longest time between a question and its reply for the reply to count. The bucket's depth leaves room for 250 ms
+     * between accrual and use; the rest is for the asker's clock drift, short waits and the owner's tolerance.
+     */
+    const val REPLY_LIMIT_MILLIS = 230L
+
+    /** Waits up to this long end on the asker's clock. Longer ones end with another question to the owner. */
+    const val SHORT_WAIT_MILLIS = 100L
+
+    /** The asker's clock may be 1 % fast and the owner's 1 % slow; a wait that long never ends early. */
+    const val WAIT_FACTOR = 1.02
+
+    /** Share of a long wait after which the owner is asked again; the rest is at most a short wait or asked again. */
+    const val REPEAT_FACTOR = 0.97
+
+    /** Time before the end of a long wait at which the owner is asked again. */
+    const val REPEAT_EARLY_MILLIS = 50L
+
+    /** Pause before another attempt when the owner is not known or does not answer. */
+    const val RETRY_MILLIS = 50L
+
+    /** Longest time between two looks at whether the caller has left. */
+    const val POLL_MILLIS = 50L
+}
