Connect the parts into a daemon and serve the whole path from separate processes

Cause: the parts existed only behind their interfaces; no request could be served. Change: DaemonParts builds and connects them, Daemon starts and drains them, ControlApi serves peers, health and metrics.

--- a/daemon/src/main/kotlin/fireflyhinge/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/Daemon.kt
@@ -1,58 +1,100 @@
 package fireflyhinge.daemon
 
 import fireflyhinge.Json
-import fireflyhinge.config.ConfigKinds
 import fireflyhinge.daemon.caller.CallerApi
 import fireflyhinge.daemon.caller.CallerMetrics
-import fireflyhinge.daemon.caller.CallerPorts
-import fireflyhinge.daemon.caller.DepartureWatch
-import fireflyhinge.daemon.caller.ModelPipeline
-import fireflyhinge.daemon.cell.CellService
-import fireflyhinge.daemon.cell.OwnerRouter
-import fireflyhinge.daemon.cell.PeerPlacementClient
-import fireflyhinge.daemon.config.ConfigService
-import fireflyhinge.daemon.config.ConfigSettings
-import fireflyhinge.daemon.engine.HttpEngineClient
 import fireflyhinge.daemon.http.HttpHost
 import fireflyhinge.daemon.http.HttpLimits
-import fireflyhinge.daemon.lease.ShardService
-import fireflyhinge.daemon.membership.GossipService
-import fireflyhinge.daemon.membership.GossipSettings
-import fireflyhinge.daemon.outbound.OutboundHttp
-import fireflyhinge.daemon.peer.HttpPeerTransport
-import fireflyhinge.daemon.quota.PeerQuotaClient
-import fireflyhinge.daemon.quota.QuotaService
+import fireflyhinge.daemon.membership.AddressEndpoint
+import fireflyhinge.daemon.settings.HostPort
 import fireflyhinge.daemon.settings.Settings
-import fireflyhinge.daemon.store.HttpStore
-import fireflyhinge.daemon.trace.Tracing
-import fireflyhinge.membership.Member
-import fireflyhinge.schedule.CellPolicy
-import fireflyhinge.schedule.SchedulerSettings
 import io.javalin.Javalin
+import io.javalin.config.JavalinConfig
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.slf4j.LoggerFactory
 import java.net.InetSocketAddress
 import java.time.Duration
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 
-/** One daemon process: builds all parts from [settings], connects them, and stops them in order. */
-class Daemon(private val settings: Settings) {
+/** One daemon process: starts its parts, drains them when it is told to stop, and stops them in order. */
+internal class Daemon(given: Settings) {
     private val log = LoggerFactory.getLogger(javaClass)
+    private val settings = given.copy(listen = given.listen.bindable(), controlListen = given.controlListen.bindable())
     private val registry = PrometheusRegistry.defaultRegistry
-    private val outbound = OutboundHttp(traceparent = Tracing::traceparent)
-    private val store = HttpStore(settings.store.toString(), outbound, watchKinds = ConfigKinds.COPIED.toSet())
-    private val engines = HttpEngineClient(outbound)
-    private val peers = HttpPeerTransport(settings.peerToken) { gossip.member(it)?.controlAddress }
-
-    // The listeners are bound before the parts are built, because a member's entry contains its real ports.
-    private val callerHost = DeferredHost(settings.listen, HttpLimits(maxThreads = settings.maxRequests))
-    private val controlHost = DeferredHost(settings.controlListen, HttpLimits(maxThreads = settings.maxRequests))
-    private val gossip =
-        GossipService(
-            settings = GossipSettings(self = self(), seeds = settings.seedPeers.map { it.toString() }),
-            store = store,
-            peers = peers,
-            openRequests = { callerHost.host.inFlight },
-        )
+    private val executor = Executors.newCachedThreadPool { Thread(it, "engine-cleanup").apply { isDaemon = true } }
+    private val timer = Executors.newSingleThreadScheduledExecutor { Thread(it, "daemon").apply { isDaemon = true } }
+    private val limits = HttpLimits(maxThreads = settings.maxRequests)
+    private val parts = DaemonParts(settings, registry, { callerHost.inFlight }, executor)
+    private val callerHost: HttpHost = HttpHost(app(::callerRoutes), settings.listen.socketAddress(), limits)
+    private val controlHost = HttpHost(app(::controlRoutes), settings.controlListen.socketAddress(), limits)
+
+    /** Runs until the process is told to stop (SIGTERM). */
+    fun run() {
+        val stopped = CountDownLatch(1)
+        Runtime.getRuntime().addShutdownHook(Thread { stop() })
+        controlHost.start()
+        parts.start()
+        callerHost.start()
+        timer.scheduleWithFixedDelay(::everySecond, 1, 1, TimeUnit.SECONDS)
+        val addresses = mapOf("listening" to settings.listen, "control" to settings.controlListen)
+        println(Json.encode(addresses.mapValues { it.value.toString() }))
+        log.info("VM {} serves callers on {}", settings.vm, settings.listen)
+        stopped.await()
+    }
+
+    private fun app(routes: (JavalinConfig) -> Unit): Javalin = Javalin.create { routes(it) }
+
+    private fun callerRoutes(config: JavalinConfig) {
+        CallerApi(parts.ports, parts.pipeline, parts.departures, CallerMetrics(registry), limits).install(config)
+        val addresses = AddressEndpoint(parts.gossip)
+        config.routes.get("/v1/addresses") { ctx ->
+            ctx.contentType("application/json").result(Json.encode(addresses.answer(ctx.queryParam("failure_domain"))))
+        }
+    }
+
+    private fun controlRoutes(config: JavalinConfig) =
+        ControlApi(parts.endpoints, settings.peerToken, registry, ::ready).install(config)
+
+    /** Ready once the configuration is held and this VM acts for every shard that it owns. */
+    private fun ready(): Boolean {
+        val owned = (0 until parts.shards.shardCount).groupBy { parts.shards.ownerOf(settings.region, it) }
+        val acting = parts.shards.actingShards.containsAll(owned[settings.vm].orEmpty())
+        return parts.config.ready() && !callerHost.draining && null !in owned && acting
+    }
+
+    private fun everySecond() {
+        parts.config.offer(parts.shards.mapObjects)
+        if (parts.gossip.reports.listedLeaving() && !callerHost.draining) announceDrain()
+    }
+
+    private fun announceDrain() {
+        log.info("VM {} is draining", settings.vm)
+        parts.gossip.reports.setDraining(true)
+        parts.shards.drain()
+        callerHost.drain()
+    }
+
+    private fun stop() {
+        announceDrain()
+        val started = System.nanoTime()
+        // Callers may use an address answer for its whole lifetime, so new connections are served that long.
+        val grace = Duration.ofMillis(settings.addressTtlMillis * ADDRESS_TTL_FACTOR_PERCENT / PERCENT)
+        while (System.nanoTime() - started < grace.toNanos() && parts.gossip.members().size > 1) {
+            Thread.sleep(POLL_MILLIS)
+        }
+        callerHost.close(Duration.ofMillis(settings.drainLimitMillis))
+        parts.stop()
+        controlHost.close(Duration.ofSeconds(1))
+        log.info("VM {} stopped", settings.vm)
+    }
+
+    private companion object {
+        const val ADDRESS_TTL_FACTOR_PERCENT = 120L
+        const val PERCENT = 100L
+        const val POLL_MILLIS = 50L
+    }
 }
+
+private fun HostPort.socketAddress() = InetSocketAddress(host, port)
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/DaemonParts.kt
@@ -0,0 +1,110 @@
+package fireflyhinge.daemon
+
+import fireflyhinge.config.ConfigKinds
+import fireflyhinge.daemon.caller.CallerPorts
+import fireflyhinge.daemon.caller.DepartureWatch
+import fireflyhinge.daemon.caller.ModelPipeline
+import fireflyhinge.daemon.cell.CellService
+import fireflyhinge.daemon.cell.OwnerRouter
+import fireflyhinge.daemon.cell.PeerPlacementClient
+import fireflyhinge.daemon.config.ConfigService
+import fireflyhinge.daemon.config.ConfigSettings
+import fireflyhinge.daemon.engine.HttpEngineClient
+import fireflyhinge.daemon.lease.ShardService
+import fireflyhinge.daemon.membership.GossipService
+import fireflyhinge.daemon.membership.GossipSettings
+import fireflyhinge.daemon.outbound.OutboundHttp
+import fireflyhinge.daemon.peer.HttpPeerTransport
+import fireflyhinge.daemon.quota.PeerQuotaClient
+import fireflyhinge.daemon.quota.QuotaService
+import fireflyhinge.daemon.settings.Settings
+import fireflyhinge.daemon.store.HttpStore
+import fireflyhinge.daemon.trace.Tracing
+import fireflyhinge.membership.Member
+import fireflyhinge.peer.PeerEndpoint
+import fireflyhinge.schedule.CellPolicy
+import fireflyhinge.schedule.SchedulerSettings
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.util.concurrent.ExecutorService
+
+/**
+ * The parts of one daemon, connected but not started.
+ *
+ * @param openRequests caller requests in flight.
+ * @param executor runs short calls to engines that nobody waits for.
+ */
+internal class DaemonParts(
+    settings: Settings,
+    registry: PrometheusRegistry,
+    openRequests: () -> Int,
+    executor: ExecutorService,
+) {
+    private val outbound = OutboundHttp(traceparent = Tracing::traceparent)
+    private val engines = HttpEngineClient(outbound)
+    private val seeds = settings.seedPeers.map { it.toString() }
+    private val peers = HttpPeerTransport(settings.peerToken, ::controlAddress)
+
+    val store = HttpStore(settings.store.toString(), outbound, watchKinds = ConfigKinds.COPIED.toSet())
+    val gossip = GossipService(GossipSettings(self(settings), seeds), store, peers, openRequests = openRequests)
+    val config = ConfigService(ConfigSettings(seeds), store, peers, gossip)
+    val shards = ShardService(gossip, peers, store)
+    val quota = QuotaService(shards, gossip, peers, config, regionShards = shards)
+    val cells = CellService(shards, config, gossip, engines, settings = schedulerSettings(settings))
+    val quotaClient = PeerQuotaClient(shards, gossip, peers, quota, refreshMaps = shards::refresh)
+    val placement = PeerPlacementClient(OwnerRouter(cells, shards, gossip, peers), config, registry)
+    val ports = CallerPorts(config, quotaClient, placement, engines, gossip)
+    val pipeline = ModelPipeline(ports, executor = executor)
+    val departures = DepartureWatch()
+
+    /** Messages that this daemon serves to its peers. */
+    val endpoints: List<PeerEndpoint<*>> =
+        listOf(gossip.endpoint) + config.endpoints + shards.endpoints + quota.endpoints + cells.endpoints()
+
+    init {
+        gossip.attach(config)
+        config.onObject(ConfigKinds.SHARDS, shards::learn)
+        config.onObject(ConfigKinds.FENCES, gossip.reports::onFence)
+    }
+
+    fun start() {
+        gossip.start()
+        config.start()
+        shards.start()
+        quota.start()
+        cells.start()
+        placement.start()
+    }
+
+    /** Stops acting for shards; must come before the control listener is closed. */
+    fun stop() {
+        shards.close()
+        cells.close()
+        placement.close()
+        quotaClient.close()
+        quota.close()
+        departures.close()
+        config.close()
+        gossip.close()
+        outbound.close()
+    }
+
+    private fun controlAddress(vm: String): String? = gossip.member(vm)?.controlAddress
+
+    private fun self(settings: Settings) =
+        Member(
+            id = settings.vm,
+            region = settings.region,
+            failureDomain = settings.failureDomain,
+            callerAddress = settings.listen.toString(),
+            controlAddress = settings.controlListen.toString(),
+            incarnation = System.currentTimeMillis(),
+            heartbeat = 0,
+        )
+
+    private fun schedulerSettings(settings: Settings) =
+        when (settings.policy) {
+            "round-robin" -> SchedulerSettings(policy = CellPolicy.ROUND_ROBIN)
+            "least-load" -> SchedulerSettings(policy = CellPolicy.LEAST_LOAD)
+            else -> SchedulerSettings()
+        }
+}
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/lease/ShardService.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/lease/ShardService.kt
@@ -48,6 +48,9 @@
             },
         )
 
+    /** Shards of each region. */
+    val shardCount: Int get() = settings.shardCount
+
     /** Newest known shard map objects of all regions, for gossip. */
     val mapObjects: List<StoredObject> get() = maps.objects
 
--- a/system-test/src/main/kotlin/fireflyhinge/measure/Profile.kt
+++ b/system-test/src/main/kotlin/fireflyhinge/measure/Profile.kt
@@ -87,19 +87,19 @@
                 model = "curator-model",
                 service = "shopfront",
                 domains =
-                    listOf(
-                        Domain("perth-north", "perth", vms = 3, prefill = 1, decode = 3, services = 1),
-                        Domain("perth-south", "perth", vms = 2, prefill = 1, decode = 3, services = 1),
-                        Domain("sydney-west", "sydney", vms = 2, prefill = 1, decode = 3, services = 1),
-                    ),
+                listOf(
+                    Domain("perth-north", "perth", vms = 3, prefill = 1, decode = 3, services = 1),
+                    Domain("perth-south", "perth", vms = 2, prefill = 1, decode = 3, services = 1),
+                    Domain("sydney-west", "sydney", vms = 2, prefill = 1, decode = 3, services = 1),
+                ),
                 traffic =
-                    mapOf(
-                        "curators" to TrafficShape(0.20, 1000, 200..1000, 60..120),
-                        "consignments" to TrafficShape(0.10, 0, 300..900, 60..120),
-                        "collectors" to TrafficShape(0.40, 0, 100..500, 20..80),
-                        "shop" to TrafficShape(0.25, 0, 100..300, 20..80),
-                        "archive" to TrafficShape(0.05, 0, 100..300, 20..80),
-                    ),
+                mapOf(
+                    "curators" to TrafficShape(0.20, 1000, 200..1000, 60..120),
+                    "consignments" to TrafficShape(0.10, 0, 300..900, 60..120),
+                    "collectors" to TrafficShape(0.40, 0, 100..500, 20..80),
+                    "shop" to TrafficShape(0.25, 0, 100..300, 20..80),
+                    "archive" to TrafficShape(0.05, 0, 100..300, 20..80),
+                ),
                 batch = setOf("curators", "consignments"),
             )
         private val kaltesanasGrafiks =
@@ -108,19 +108,19 @@
                 model = "valodas-modelis",
                 service = "rezervju-lietne",
                 domains =
-                    listOf(
-                        Domain("cesu-zona", "vidzemes-lauki", vms = 3, prefill = 1, decode = 3, services = 1),
-                        Domain("valmieras-zona", "vidzemes-lauki", vms = 3, prefill = 1, decode = 3, services = 1),
-                        Domain("jelgavas-zona", "zemgales-lauki", vms = 2, prefill = 1, decode = 3, services = 1),
-                    ),
+                listOf(
+                    Domain("cesu-zona", "vidzemes-lauki", vms = 3, prefill = 1, decode = 3, services = 1),
+                    Domain("valmieras-zona", "vidzemes-lauki", vms = 3, prefill = 1, decode = 3, services = 1),
+                    Domain("jelgavas-zona", "zemgales-lauki", vms = 2, prefill = 1, decode = 3, services = 1),
+                ),
                 traffic =
-                    mapOf(
-                        "graudi" to TrafficShape(0.40, 1000, 100..800, 30..90),
-                        "klerki" to TrafficShape(0.30, 0, 100..600, 30..90),
-                        "lauki" to TrafficShape(0.15, 0, 100..300, 20..60),
-                        "kopsavilkumi" to TrafficShape(0.10, 0, 300..1500, 80..160),
-                        "ligumi" to TrafficShape(0.05, 0, 100..300, 30..60),
-                    ),
+                mapOf(
+                    "graudi" to TrafficShape(0.40, 1000, 100..800, 30..90),
+                    "klerki" to TrafficShape(0.30, 0, 100..600, 30..90),
+                    "lauki" to TrafficShape(0.15, 0, 100..300, 20..60),
+                    "kopsavilkumi" to TrafficShape(0.10, 0, 300..1500, 80..160),
+                    "ligumi" to TrafficShape(0.05, 0, 100..300, 30..60),
+                ),
                 batch = setOf("kopsavilkumi"),
             )
 
--- a/system-test/src/main/kotlin/fireflyhinge/systemtest/ChatCaller.kt
+++ b/system-test/src/main/kotlin/fireflyhinge/systemtest/ChatCaller.kt
@@ -1,8 +1,6 @@
 package fireflyhinge.systemtest
 
-import com.fasterxml.jackson.databind.JsonNode
 import fireflyhinge.Json
-import fireflyhinge.engine.ChatMessage
 import okhttp3.ConnectionPool
 import okhttp3.Dispatcher
 import okhttp3.MediaType.Companion.toMediaType
@@ -24,40 +22,32 @@
             .retryOnConnectionFailure(false)
             .build()
 
-    /** Sends [messages] as a streamed request to [address] and reads the answer to its end. */
-    fun stream(
-        address: String,
-        workspace: String,
-        key: String,
-        model: String,
-        messages: List<ChatMessage>,
-        maxTokens: Int,
-        intendedAt: Long = System.nanoTime(),
-    ): ChatOutcome {
-        val body =
-            Json.encode(
-                mapOf(
-                    "model" to model,
-                    "messages" to messages,
-                    "max_tokens" to maxTokens,
-                    "stream" to true,
-                    "stream_options" to mapOf("include_usage" to true),
-                ),
-            )
-        val request =
-            Request.Builder()
-                .url("http://$address/v1/chat/completions")
-                .header("Authorization", "Bearer $key")
-                .post(body.toRequestBody("application/json".toMediaType()))
-                .build()
-        val reader = ChatStreamReader(workspace, intendedAt)
+    /** Sends [call] as a streamed request to [address] and reads the answer to its end. */
+    fun stream(address: String, call: ChatCall): ChatOutcome {
+        val reader = ChatStreamReader(call.workspace, call.intendedAt)
         return try {
-            client.newCall(request).execute().use { read(it, reader) }
+            client.newCall(request(address, call)).execute().use { read(it, reader) }
         } catch (e: IOException) {
             reader.outcome(status = 0, failure = e.toString())
         }
     }
 
+    private fun request(address: String, call: ChatCall): Request {
+        val body =
+            mapOf(
+                "model" to call.model,
+                "messages" to call.messages,
+                "max_tokens" to call.maxTokens,
+                "stream" to true,
+                "stream_options" to mapOf("include_usage" to true),
+            )
+        return Request.Builder()
+            .url("http://$address/v1/chat/completions")
+            .header("Authorization", "Bearer ${call.key}")
+            .post(Json.encode(body).toRequestBody("application/json".toMediaType()))
+            .build()
+    }
+
     private fun read(response: Response, reader: ChatStreamReader): ChatOutcome {
         if (!response.isSuccessful) {
             reader.error(Json.mapper.readTree(response.body.string()))
@@ -81,49 +71,3 @@
         const val READ_TIMEOUT_SECONDS = 60L
     }
 }
-
-/** Collects the events of one answer. */
-internal class ChatStreamReader(private val workspace: String, private val intendedAt: Long) {
-    private val text = StringBuilder()
-    private val times = mutableListOf<Long>()
-    private var finished = false
-    private var done = false
-    private var usage: JsonNode? = null
-    private var error: JsonNode? = null
-
-    fun event(data: String) {
-        if (data == "[DONE]") {
-            done = true
-            return
-        }
-        val node = Json.mapper.readTree(data)
-        if (node.has("error")) error(node)
-        node["usage"]?.takeIf { it.isObject }?.let { usage = it }
-        val choice = node["choices"]?.get(0) ?: return
-        choice["delta"]?.get("content")?.asText()?.takeIf { it.isNotEmpty() }?.let {
-            times += System.nanoTime()
-            text.append(it)
-        }
-        if (choice["finish_reason"]?.isTextual == true) finished = true
-    }
-
-    fun error(node: JsonNode) {
-        error = node["error"]
-    }
-
-    fun outcome(status: Int, failure: String? = null): ChatOutcome =
-        ChatOutcome(
-            workspace = workspace,
-            intendedAt = intendedAt,
-            endedAt = System.nanoTime(),
-            tokenTimes = times.toList(),
-            text = text.toString(),
-            whole = finished && done && usage != null && error == null,
-            status = status,
-            code = error?.get("code")?.asText(),
-            run = error?.get("run")?.asText(),
-            promptTokens = usage?.get("prompt_tokens")?.asInt() ?: 0,
-            completionTokens = usage?.get("completion_tokens")?.asInt() ?: 0,
-            failure = failure,
-        )
-}
--- a/system-test/src/main/kotlin/fireflyhinge/systemtest/ManagedProcess.kt
+++ b/system-test/src/main/kotlin/fireflyhinge/systemtest/ManagedProcess.kt
@@ -8,8 +8,8 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * A process of the system under test. Its output goes to [log]. The first output line that has a `listening` field tells that
- * it accepts connections.
+ * A process of the system under test. Its output goes to [log]. The first output line that has a `listening` field
+ * tells that it accepts connections.
  */
 class ManagedProcess private constructor(val name: String, private val process: Process, val log: Path) :
     AutoCloseable {
@@ -17,6 +17,9 @@
     lateinit var announcement: JsonNode
         private set
 
+    /** Address that the process announced, as `host:port`. */
+    val listening: String get() = announcement["listening"].asText()
+
     /** Operating system id of the process. */
     val pid: Long get() = process.pid()
 
