--- a/daemon/src/main/kotlin/fireflyhinge/daemon/engine/DecodeReader.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/engine/DecodeReader.kt
@@ -14,8 +14,7 @@
 import java.util.concurrent.LinkedBlockingQueue
 
 /** Reads the server-sent events of one decode call into a queue, so that the caller's wait can have a deadline. */
-internal class DecodeReader : Callback {
-    val mark = SendMark()
+internal class DecodeReader(val mark: SendMark) : Callback {
     val items = LinkedBlockingQueue<StreamItem>()
 
     override fun onFailure(call: Call, e: IOException) {
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/engine/EngineCalls.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/engine/EngineCalls.kt
@@ -2,6 +2,7 @@
 
 import fireflyhinge.Json
 import fireflyhinge.daemon.outbound.OutboundHttp
+import fireflyhinge.daemon.outbound.SendMark
 import fireflyhinge.engine.DecodeEvent
 import fireflyhinge.engine.EngineFailure
 import fireflyhinge.engine.EngineResult
@@ -30,7 +31,7 @@
         newConnection: Boolean,
         sessionOf: (DecodeReader) -> DecodeSession,
     ): EngineResult<DecodeEvent.End> {
-        val reader = DecodeReader()
+        val reader = DecodeReader(SendMark(checkConnection = !newConnection))
         val call = http.open(request = postOf(url, body), mark = reader.mark, newConnection = newConnection)
         var result: EngineResult<DecodeEvent.End> = EngineResult.Failed(EngineFailure.Cancelled)
         try {
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/engine/EngineReplies.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/engine/EngineReplies.kt
@@ -11,6 +11,7 @@
 /** Meaning of the engines' answers. */
 internal object EngineReplies {
     private const val GONE = 410
+    private const val CANCELLED = 499
     private const val UNAVAILABLE = 503
     private val success = 200..299
     private val clientErrors = 400..499
@@ -27,6 +28,7 @@
     /** The failure that an answer other than 2xx stands for. */
     fun failureOf(reply: HttpReply): EngineFailure =
         when (reply.status) {
+            CANCELLED -> EngineFailure.Cancelled
             GONE -> EngineFailure.Expired(reply.body)
             UNAVAILABLE, in clientErrors -> EngineFailure.Refused(status = reply.status, reason = reply.body)
             else -> EngineFailure.Broken("status ${reply.status}: ${reply.body}")
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/OutboundHttp.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/OutboundHttp.kt
@@ -35,16 +35,27 @@
             .build()
     private val unpooled = pooled.newBuilder().connectionPool(ConnectionPool(0, 1, TimeUnit.SECONDS)).build()
 
-    /** Sends [request] and waits for the whole answer, at most [timeoutMillis] for each attempt. */
+    /**
+     * Sends [request] and waits for the whole answer, at most [timeoutMillis], or twice as long if it is [idempotent]
+     * and the first attempt was sent and not answered.
+     */
     internal fun exchange(request: Request, timeoutMillis: Long, idempotent: Boolean): Exchange {
-        val first = attempt(request = request, timeoutMillis = timeoutMillis, newConnection = false)
-        val again = first is Exchange.NotSent || (first is Exchange.NoAnswer && idempotent)
-        return if (again) attempt(request = request, timeoutMillis = timeoutMillis, newConnection = true) else first
+        val start = System.nanoTime()
+        val first = attempt(request, timeoutMillis, SendMark(checkConnection = !idempotent), newConnection = false)
+        val left = timeoutMillis - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start)
+        val secondLimit =
+            when {
+                first is Exchange.NotSent -> left
+                first is Exchange.NoAnswer && idempotent -> timeoutMillis
+                else -> 0
+            }
+        if (secondLimit <= 0) return first
+        return attempt(request, secondLimit, SendMark(checkConnection = false), newConnection = true)
     }
 
-    private fun attempt(request: Request, timeoutMillis: Long, newConnection: Boolean): Exchange {
-        val callback = ReplyCallback(SendMark())
-        val call = open(request = request, mark = callback.mark, newConnection = newConnection)
+    private fun attempt(request: Request, timeoutMillis: Long, mark: SendMark, newConnection: Boolean): Exchange {
+        val callback = ReplyCallback(mark)
+        val call = open(request = request, mark = mark, newConnection = newConnection)
         call.timeout().timeout(timeoutMillis, TimeUnit.MILLISECONDS)
         call.enqueue(callback)
         return try {
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/ReplyCallback.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/ReplyCallback.kt
@@ -7,7 +7,7 @@
 import java.util.concurrent.CompletableFuture
 
 /** Reads the whole answer of one call. */
-internal class ReplyCallback(val mark: SendMark) : Callback {
+internal class ReplyCallback(private val mark: SendMark) : Callback {
     /** Completed exactly once. */
     val exchange = CompletableFuture<Exchange>()
 
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/SendMarker.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/SendMarker.kt
@@ -2,13 +2,24 @@
 
 import okhttp3.Interceptor
 import okhttp3.Response
+import java.io.IOException
 
 /** Sets the [SendMark] of a request once a connection is there, just before the first byte is written. */
 internal object SendMarker : Interceptor {
     override fun intercept(chain: Interceptor.Chain): Response {
-        chain.request().tag(SendMark::class.java)?.sent = true
+        chain.request().tag(SendMark::class.java)?.let { prepare(chain = chain, mark = it) }
         val response = chain.proceed(chain.request())
         // OkHttp would send the request again by itself on 503 with "Retry-After: 0".
         return response.newBuilder().removeHeader("Retry-After").build()
     }
+
+    private fun prepare(chain: Interceptor.Chain, mark: SendMark) {
+        val socket = chain.connection()?.socket()
+        if (mark.checkConnection && socket?.isClosedByPeer() == true) {
+            // OkHttp drops pooled connections whose socket is closed.
+            socket.close()
+            throw IOException("the server had closed the idle connection")
+        }
+        mark.sent = true
+    }
 }
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/engine/EngineFixture.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/engine/EngineFixture.kt
@@ -29,8 +29,9 @@
         messages: List<ChatMessage> = MESSAGES,
         resumed: List<String> = emptyList(),
         timeoutMillis: Long = 3_000,
+        scope: String = "w1",
     ): EngineResult<PrefillResult> {
-        val request = PrefillRequest(id, HOLDER, "t1", "m", "w1", messages, resumed)
+        val request = PrefillRequest(id, HOLDER, "t1", "m", scope, messages, resumed)
         return client.prefill(prefill.address, request, timeoutMillis)
     }
 
--- a/standin/src/main/kotlin/fireflyhinge/standin/PlainServer.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/PlainServer.kt
@@ -63,7 +63,7 @@
         if (ctx.isControl()) return
         val connection = ctx.connectionNumber()
         silence.note(connection)
-        silence.hold(connection)
+        if (!silence.hold(connection)) return ctx.breakConnection()
         record.receive(ctx)
         if (faults.refuse) return ctx.refuse(status = 503, reason = "refused before running")
         running.incrementAndGet()
@@ -79,8 +79,8 @@
         val runs = record.run(key)
         val wait = runMillis + faults.delayMillis
         if (wait > 0) Thread.sleep(wait)
-        if (faults.takeClose()) return ctx.breakConnection()
-        silence.hold(ctx.connectionNumber())
+        val open = !faults.takeClose() && silence.hold(ctx.connectionNumber())
+        if (!open) return ctx.breakConnection()
         val body =
             mapOf("service" to name, "method" to ctx.method().name, "path" to ctx.path(), "key" to key, "runs" to runs)
         ctx.reply(status = 200, body = body)
--- a/standin/src/main/kotlin/fireflyhinge/standin/engine/AnswerStream.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/engine/AnswerStream.kt
@@ -17,7 +17,7 @@
 
     /** Writes [text] at once unless the connection is silenced; false if the connection is broken. */
     fun write(text: String, until: () -> Boolean): Boolean {
-        silence.hold(connection = connection, until = until)
+        if (!silence.hold(connection = connection, until = until)) return false
         lastWrite = System.nanoTime()
         return try {
             ctx.res().outputStream.write(text.toByteArray())
@@ -28,9 +28,12 @@
         }
     }
 
-    /** Writes white space, which JSON allows, if nothing was written for a while; finds a broken connection. */
-    fun beat(until: () -> Boolean): Boolean =
-        System.nanoTime() - lastWrite < BEAT_NANOS || write(text = " ", until = until)
+    /**
+     * Writes white space, which JSON allows, if nothing was written for a while; false if the connection is broken. A
+     * silenced connection looks intact to the engine.
+     */
+    fun beat(): Boolean =
+        silence.isSilent(connection) || System.nanoTime() - lastWrite < BEAT_NANOS || write(text = " ") { true }
 
     private companion object {
         const val BEAT_NANOS = 50_000_000L
--- a/standin/src/main/kotlin/fireflyhinge/standin/engine/DecodeHandler.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/engine/DecodeHandler.kt
@@ -44,6 +44,7 @@
             index += 1
             token = engine.decodes.token(slot = slot, index = index)
         }
+        if (engine.dead) return false
         if (slot.cancelled) return send("cancelled", emptyMap<String, String>())
         val reason = slot.answer?.finishReason(request.maxTokens).orEmpty()
         return send("end", DecodeEvent.End(id = slot.id, finishReason = reason, tokens = slot.count))
--- a/standin/src/main/kotlin/fireflyhinge/standin/engine/EngineRoutes.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/engine/EngineRoutes.kt
@@ -44,8 +44,8 @@
         val connection = ctx.connectionNumber()
         host.silence.note(connection)
         host.crashed.note(connection)
-        host.silence.hold(connection)
-        if (host.crashed.covers(connection)) return ctx.breakConnection()
+        val open = host.silence.hold(connection) && !host.crashed.covers(connection)
+        if (!open) return ctx.breakConnection()
         if (host.faults.refuse) {
             ctx.refuse(status = 503, reason = "refused by fault control")
             ctx.skipRemainingHandlers()
--- a/standin/src/main/kotlin/fireflyhinge/standin/engine/PrefillHandler.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/engine/PrefillHandler.kt
@@ -55,7 +55,7 @@
     }
 
     private fun beat(stream: AnswerStream, job: PrefillJob) {
-        val connected = stream.beat { job.cancelled }
+        val connected = stream.beat()
         if (!connected && host.settings.cancelOnDisconnectPrefill) job.cancelled = true
     }
 
--- a/standin/src/main/kotlin/fireflyhinge/standin/engine/TransferHandler.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/engine/TransferHandler.kt
@@ -69,6 +69,7 @@
 
     private fun answer(ctx: Context, engine: Engine, slot: DecodeSlot, fetched: KvFetch) {
         if (engine.dead) return ctx.breakConnection()
+        if (slot.cancelled) return ctx.refuse(status = 499, reason = "cancelled")
         when (fetched) {
             is KvFetch.Fetched -> {
                 slot.content = fetched.content
--- a/standin/src/main/kotlin/fireflyhinge/standin/http/SilenceGate.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/http/SilenceGate.kt
@@ -14,11 +14,14 @@
     /** Silences all connections seen so far. */
     fun silenceOpen() = cutoff.cut()
 
-    /** Blocks while [connection] is silent; returns early once [until] holds or the server closes. */
-    fun hold(
-        connection: Long,
-        until: () -> Boolean = { false },
-    ) = holdWhile { cutoff.covers(connection) && !until() }
+    /** Whether [connection] must not send anything. */
+    fun isSilent(connection: Long): Boolean = cutoff.covers(connection)
+
+    /** Blocks while [connection] is silent, until [until] holds or the server closes; false if it is silent still. */
+    fun hold(connection: Long, until: () -> Boolean = { false }): Boolean {
+        holdWhile { isSilent(connection) && !until() }
+        return !isSilent(connection)
+    }
 
     /** Blocks while [condition] holds and the server is open. */
     fun holdWhile(condition: () -> Boolean) {
--- a/standin/src/main/kotlin/fireflyhinge/standin/http/StandinHost.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/http/StandinHost.kt
@@ -5,6 +5,7 @@
 import io.javalin.config.JavalinConfig
 import org.apache.catalina.core.StandardContext
 import org.apache.catalina.startup.Tomcat
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.logging.Level
 import java.util.logging.Logger
 
@@ -15,6 +16,7 @@
     configure: (JavalinConfig) -> Unit,
 ) : AutoCloseable {
     private val tomcat = Tomcat()
+    private val open = AtomicBoolean(true)
 
     /** `host:port` as bound. */
     val address: String
@@ -52,6 +54,7 @@
             }.javalinServlet()
 
     override fun close() {
+        if (!open.getAndSet(false)) return
         tomcat.stop()
         tomcat.destroy()
     }
--- a/standin/src/main/kotlin/fireflyhinge/standin/store/StoreRoutes.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/store/StoreRoutes.kt
@@ -44,7 +44,10 @@
         val kinds = ctx.queryParam("kinds").orEmpty().split(',').filter { it.isNotEmpty() }.toSet()
         val wait = ctx.queryParam("wait_ms")?.toLong() ?: 0
         val since = ctx.queryParam("since")?.toLong() ?: 0
-        ctx.reply(status = 200, body = table.watch(position = since, waitMillis = wait, kinds = kinds))
+        val batch = table.watch(position = since, waitMillis = wait, kinds = kinds)
+        // An outage that began during the wait also hits the watches that wait.
+        if (faults.outage != OutageMode.OFF) return ctx.breakConnection()
+        ctx.reply(status = 200, body = batch)
     }
 
     private fun vms(ctx: Context) {
