--- a/daemon/src/test/kotlin/fireflyhinge/daemon/engine/HttpEngineClientTest.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/engine/HttpEngineClientTest.kt
@@ -26,7 +26,7 @@
             val end = f.decode { text.collect(it) }.value()
             assertEquals(expected, text.toString())
             assertEquals("stop" to 30, end.finishReason to end.tokens)
-            awaitTrue("nothing is held after the end") { (f.decode.held + f.prefill.held).isEmpty() }
+            assertEquals(emptyList<Any>(), f.decode.held + f.prefill.held)
         }
     }
 
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/store/HttpStoreTest.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/store/HttpStoreTest.kt
@@ -129,6 +129,17 @@
         }
     }
 
+    /** Guards against a read that fails on a silent connection while new ones work, and a write sent twice (P10). */
+    @Test
+    fun silentConnectionFailsWritesAndNotReads() {
+        assertEquals(StoreResult.NotFound, store.get(NAME))
+        server.silenceOpenConnections()
+        assertEquals(StoreResult.NotFound, store.get(NAME))
+        store.get(NAME)
+        server.silenceOpenConnections()
+        assertInstanceOf(StoreResult.Unknown::class.java, store.put(NAME, "{}", WriteCondition.Absent))
+    }
+
     /** Guards against tests of the lagging VM list that see it without lag. */
     @Test
     fun lateVmListShowsAfterItsLag() {
--- a/standin/src/main/kotlin/fireflyhinge/standin/StoreServer.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/StoreServer.kt
@@ -3,6 +3,7 @@
 import fireflyhinge.standin.http.SilenceGate
 import fireflyhinge.standin.http.StandinHost
 import fireflyhinge.standin.http.breakConnection
+import fireflyhinge.standin.http.connectionNumber
 import fireflyhinge.standin.http.isControl
 import fireflyhinge.standin.http.refuse
 import fireflyhinge.standin.store.CallLimiter
@@ -32,7 +33,7 @@
         StandinHost(listen = listen) { config ->
             config.routes.before { admit(it) }
             StoreRoutes(settings = settings, faults = faults, counts = counts, vms = vms).addTo(config.routes)
-            StoreControl(faults = faults, counts = counts, vms = vms).addTo(config.routes)
+            StoreControl(faults = faults, counts = counts, vms = vms, silence = silence).addTo(config.routes)
         }
 
     /** `host:port` as bound. */
@@ -41,8 +42,13 @@
     /** Sets the VM list, visible after the lag or at once if [immediately]. */
     fun setVms(list: List<VmEntry>, immediately: Boolean = true) = vms.set(value = list, immediately = immediately)
 
+    /** Makes the connections that are open now silent for good, while new ones work. */
+    fun silenceOpenConnections() = silence.silenceOpen()
+
     private fun admit(ctx: Context) {
         if (ctx.isControl()) return
+        silence.note(ctx.connectionNumber())
+        if (!silence.hold(ctx.connectionNumber())) return ctx.breakConnection()
         if (faults.delayMillis > 0) Thread.sleep(faults.delayMillis)
         when (faults.outage) {
             OutageMode.OFF -> limit(ctx)
--- a/standin/src/main/kotlin/fireflyhinge/standin/engine/DecodeHandler.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/engine/DecodeHandler.kt
@@ -46,6 +46,8 @@
         }
         if (engine.dead) return false
         if (slot.cancelled) return send("cancelled", emptyMap<String, String>())
+        // Before the end event, so that its receiver can use the slot at once.
+        engine.cancel(slot.id)
         val reason = slot.answer?.finishReason(request.maxTokens).orEmpty()
         return send("end", DecodeEvent.End(id = slot.id, finishReason = reason, tokens = slot.count))
     }
--- a/standin/src/main/kotlin/fireflyhinge/standin/http/StandinHost.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/http/StandinHost.kt
@@ -22,7 +22,7 @@
     val address: String
 
     init {
-        quiet.level = Level.WARNING
+        quiet.level = Level.SEVERE
         val host = listen.substringBeforeLast(':')
         val directory = System.getProperty("java.io.tmpdir")
         tomcat.setBaseDir(directory)
@@ -37,6 +37,7 @@
         Tomcat.addServlet(context, "standin", servletOf(configure)).isAsyncSupported = true
         context.addServletMappingDecoded("/*", "standin")
         context.pipeline.addValve(ConnectionValve())
+        tomcat.connector.throwOnFailure = true
         tomcat.start()
         address = "$host:${tomcat.connector.localPort}"
     }
--- a/standin/src/main/kotlin/fireflyhinge/standin/store/StoreControl.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/store/StoreControl.kt
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode
 import fireflyhinge.standin.CallCounts
 import fireflyhinge.standin.Lagging
+import fireflyhinge.standin.http.SilenceGate
 import fireflyhinge.standin.http.decodeBody
 import fireflyhinge.standin.http.done
 import fireflyhinge.standin.http.reply
@@ -14,6 +15,7 @@
     private val faults: StoreFaults,
     private val counts: CallCounts,
     private val vms: Lagging<List<VmEntry>>,
+    private val silence: SilenceGate,
 ) {
     fun addTo(routes: RoutesConfig) {
         routes.post("/control/outage") { ctx ->
@@ -24,6 +26,10 @@
             faults.delayMillis = ctx.decodeBody<JsonNode>()["millis"].asLong()
             ctx.done()
         }
+        routes.post("/control/silence") { ctx ->
+            silence.silenceOpen()
+            ctx.done()
+        }
         routes.post("/control/lose-replies") { ctx ->
             faults.loseReplies(ctx.decodeBody<JsonNode>()["count"].asInt())
             ctx.done()
