--- a/standin/src/main/kotlin/fireflyhinge/standin/http/StandinHost.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/http/StandinHost.kt
@@ -5,6 +5,7 @@
 import io.javalin.config.JavalinConfig
 import org.apache.catalina.core.StandardContext
 import org.apache.catalina.startup.Tomcat
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.logging.Level
 import java.util.logging.Logger
 
@@ -15,12 +16,13 @@
     configure: (JavalinConfig) -> Unit,
 ) : AutoCloseable {
     private val tomcat = Tomcat()
+    private val open = AtomicBoolean(true)
 
     /** `host:port` as bound. */
     val address: String
 
     init {
-        quiet.level = Level.WARNING
+        quiet.level = Level.SEVERE
         val host = listen.substringBeforeLast(':')
         val directory = System.getProperty("java.io.tmpdir")
         tomcat.setBaseDir(directory)
@@ -35,6 +37,7 @@
         Tomcat.addServlet(context, "standin", servletOf(configure)).isAsyncSupported = true
         context.addServletMappingDecoded("/*", "standin")
         context.pipeline.addValve(ConnectionValve())
+        tomcat.connector.throwOnFailure = true
         tomcat.start()
         address = "$host:${tomcat.connector.localPort}"
     }
@@ -52,6 +55,7 @@
             }.javalinServlet()
 
     override fun close() {
+        if (!open.getAndSet(false)) return
         tomcat.stop()
         tomcat.destroy()
     }
