Bind a slot ahead only for the part of a prefill that is surely read

Ruled out: no binding ahead at all (a long prompt would leave its slot idle for seconds). Change: the earliest end of a prefill counts all of the prompt's whole blocks as cached and the queue as gone.

--- a/core/src/main/kotlin/fireflyhinge/schedule/ReservingPolicy.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/ReservingPolicy.kt
@@ -31,10 +31,11 @@
         val start = replica.startAt(now)
         if (start - now > settings.prefillBacklogMillis) return null
         val cached = minOf(replica.prefixes.cachedTokens(request.workspace, request.prefixHashes), request.promptTokens)
-        val millis = replica.millisFor(request.promptTokens - cached)
-        val end = start + millis
+        val end = start + replica.millisFor(request.promptTokens - cached)
         val distance = distance(replica.upstream.failureDomain, request.failureDomain)
-        val earliestEnd = now + (millis * SURE_PART).toLong()
+        // The engine may hold any block, also one that this owner has not seen, and its queue may vanish.
+        val surelyRead = maxOf(0, request.promptTokens - request.prefixHashes.size * PrefixBeliefs.BLOCK_TOKENS)
+        val earliestEnd = now + (replica.millisFor(surelyRead) * SURE_PART).toLong()
         return PrefillPlan(
             replica = replica,
             cachedTokens = cached,
@@ -95,7 +96,7 @@
         /** A full batch slows every step, so an emptier replica is worth a slightly later start. */
         private const val FULL_PENALTY_MILLIS = 50.0
 
-        /** The queue before a prefill may vanish and the prefill may be faster than predicted. */
+        /** The prefill may be faster than predicted. */
         private const val SURE_PART = 0.85
 
         private const val MAX_GAPS = 64
--- a/core/src/test/kotlin/fireflyhinge/schedule/CellTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/schedule/CellTest.kt
@@ -147,6 +147,26 @@
         assertNull(retry("r7", OPEN + 4_000))
     }
 
+    /** Guards against slots that idle during a long prefill, and prefills that end before their slot is free. */
+    @Test
+    fun onlyALongPrefillStartsBeforeItsSlotIsFree() {
+        val cell = openCell(prefills = 2, slots = 1)
+        val first = request("1")
+        val placed = cell.placed(first, OPEN)
+        (1..8).forEach { second ->
+            val now = OPEN + second * 500
+            cell.update(report(first, placed).copy(prefillDone = true, generatedTokens = second * 10), now)
+            cell.pump(now)
+        }
+        // 20 tokens remain: at most 1.2 s with margins. The prompts take 0.1 s and 2 s to read.
+        val now = OPEN + 4_000
+        val long = request("long").copy(promptTokens = 20_000, prefixHashes = emptyList(), priority = Priority.BATCH)
+        assertNull(cell.place(request("short").copy(suspect = true), now))
+        assertNull(cell.place(long.copy(requestId = "cached", prefixHashes = List(20) { "h$it" }, suspect = true), now))
+        cell.placed(long, now)
+        assertNull(cell.place(long.copy(requestId = "long2"), now), "the slot is bound")
+    }
+
     /** Guards against prompts that are read again although a replica holds their beginning for the workspace. */
     @Test
     fun theReplicaWithTheCachedPrefixIsPreferred() {
