--- a/core/src/main/kotlin/fireflyhinge/schedule/ReservingPolicy.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/ReservingPolicy.kt
@@ -33,7 +33,16 @@
         val cached = minOf(replica.prefixes.cachedTokens(request.workspace, request.prefixHashes), request.promptTokens)
         val end = start + replica.millisFor(request.promptTokens - cached)
         val distance = distance(replica.upstream.failureDomain, request.failureDomain)
-        return PrefillPlan(replica = replica, cachedTokens = cached, end = end, score = end + distance)
+        // The engine may hold any block, also one that this owner has not seen, and its queue may vanish.
+        val surelyRead = maxOf(0, request.promptTokens - request.prefixHashes.size * PrefixBeliefs.BLOCK_TOKENS)
+        val earliestEnd = now + (replica.millisFor(surelyRead) * SURE_PART).toLong()
+        return PrefillPlan(
+            replica = replica,
+            cachedTokens = cached,
+            end = end,
+            earliestEnd = earliestEnd,
+            score = end + distance,
+        )
     }
 
     private fun bestTransfer(
@@ -44,7 +53,7 @@
     ): TransferPlan? =
         replicas.decodeFor(request)
             .filter { it.listed }
-            .filter { decode -> decode.freeAt(now)?.let { it <= prefill.end } == true }
+            .filter { decode -> decode.freeAt(now)?.let { it <= prefill.earliestEnd } == true }
             .map { transfer(prefill, it, request) }
             .filter { it.start - prefill.end <= settings.linkWaitMillis }
             .minByOrNull { it.score }
@@ -74,6 +83,7 @@
         val replica: PrefillReplica,
         val cachedTokens: Int,
         val end: Long,
+        val earliestEnd: Long,
         val score: Double,
     )
 
@@ -86,6 +96,9 @@
         /** A full batch slows every step, so an emptier replica is worth a slightly later start. */
         private const val FULL_PENALTY_MILLIS = 50.0
 
+        /** The prefill may be faster than predicted. */
+        private const val SURE_PART = 0.85
+
         private const val MAX_GAPS = 64
         private const val BYTES_PER_MILLI = 1_000.0
 
