Test bad input, engine failures at every step and caller departure

Cause: the first version was tested on the happy path only. Ruled out: Tomcat's ActionCode.AVAILABLE as the probe of the socket. A pipelined request that arrived with the body made the answer's end fail with 'newPosition < 0' and was lost. Fractions in the retry budget: 3 + 20 x 0.1 did not reach 5 retries.

--- a/core/src/main/kotlin/fireflyhinge/retry/RetryBudget.kt
+++ b/core/src/main/kotlin/fireflyhinge/retry/RetryBudget.kt
@@ -1,27 +1,31 @@
 package fireflyhinge.retry
 
 /**
- * Limits retries to [share] of the requests, so that retries do not add load to a failing pool. Holds [minimum] retries
- * at the start and saves up to [limit].
+ * Limits retries to [percent] of the requests, so that retries do not add load to a failing pool. Holds [minimum]
+ * retries at the start and saves up to [limit]. Counted in hundredths, as fractions of a retry must add up exactly.
  */
 class RetryBudget(
-    private val share: Double = 0.1,
-    minimum: Double = 3.0,
-    private val limit: Double = 100.0,
+    private val percent: Int = 10,
+    minimum: Int = 3,
+    private val limit: Int = 100,
 ) {
-    private var tokens = minimum
+    private var hundredths = minimum * WHOLE
 
     /** Counts one accepted request. */
     @Synchronized
     fun accepted() {
-        tokens = minOf(limit, tokens + share)
+        hundredths = minOf(limit * WHOLE, hundredths + percent)
     }
 
     /** Takes one retry from the budget; false when it is used up. */
     @Synchronized
     fun tryRetry(): Boolean {
-        if (tokens < 1) return false
-        tokens -= 1
+        if (hundredths < WHOLE) return false
+        hundredths -= WHOLE
         return true
     }
+
+    private companion object {
+        const val WHOLE = 100
+    }
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ChatRequestParser.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ChatRequestParser.kt
@@ -28,7 +28,8 @@
     /** The request in [body], or the code and the name of the field at fault. */
     fun parse(body: ByteArray): Outcome<ChatRequest> =
         try {
-            Outcome.Success(request(reader.readTree(body)))
+            val root = reader.readTree(body)
+            if (root.isMissingNode) Outcome.Failure(ResultCode.MALFORMED_JSON) else Outcome.Success(request(root))
         } catch (e: JacksonException) {
             val place = e.location?.let { "Line ${it.lineNr}, column ${it.columnNr}." }
             Outcome.Failure(ResultCode.MALFORMED_JSON, detail = place.orEmpty())
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/http/SocketProbe.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/http/SocketProbe.kt
@@ -3,35 +3,47 @@
 import jakarta.servlet.ServletRequestWrapper
 import jakarta.servlet.http.HttpServletRequest
 import org.apache.catalina.connector.RequestFacade
-import org.apache.coyote.ActionCode
-import org.apache.coyote.Request
+import org.apache.coyote.AbstractProcessor
+import org.apache.tomcat.util.net.SocketWrapperBase
+import java.io.IOException
+import java.nio.ByteBuffer
 
 /**
  * Tells without blocking whether the peer has closed its connection, or its sending half, while a request whose body
- * was read is being handled. Reads through Tomcat, so that a pipelined request is kept.
+ * was read is being handled. Bytes of a pipelined request are put back. Tomcat's own test for available input is not
+ * used, because it overwrites pipelined bytes that came together with the body.
  */
-class SocketProbe private constructor(private val request: Request) {
+class SocketProbe private constructor(private val socket: SocketWrapperBase<*>) {
+    private val buffer = ByteBuffer.allocate(1)
+
     /** Whether the peer has closed. Must not run at the same time as a read of the body or the end of the request. */
     fun closed(): Boolean =
-        // Tomcat reports the end of the stream as an available byte, each time it is asked. Pipelined bytes are
-        // reported once, when they are read into the buffer; they do not belong to this request's body.
-        available() && available()
-
-    private fun available(): Boolean {
-        request.action(ActionCode.AVAILABLE, true)
-        return request.available > 0
-    }
+        try {
+            buffer.clear()
+            val n = socket.read(false, buffer)
+            if (n > 0) socket.unRead(buffer.flip())
+            n < 0
+        } catch (_: IOException) {
+            true
+        }
 
-    /** Makes probes. */
+    /** Makes probes. The socket is found through fields of Tomcat that have no public accessor. */
     companion object {
         private val inner = RequestFacade::class.java.getDeclaredField("request").apply { isAccessible = true }
+        private val hook =
+            org.apache.coyote.Request::class.java
+                .getDeclaredField("hook")
+                .apply { isAccessible = true }
+        private val wrapper =
+            AbstractProcessor::class.java.getDeclaredMethod("getSocketWrapper").apply { isAccessible = true }
 
         /** Probe of the connection of [request], or null when Tomcat does not host it. */
         fun of(request: HttpServletRequest): SocketProbe? {
             var current: Any = request
             while (current is ServletRequestWrapper) current = current.request
             val catalina = (current as? RequestFacade)?.let(inner::get) as? org.apache.catalina.connector.Request
-            return catalina?.let { SocketProbe(it.coyoteRequest) }
+            val processor = catalina?.let { hook.get(it.coyoteRequest) } as? AbstractProcessor
+            return (processor?.let(wrapper::invoke) as? SocketWrapperBase<*>)?.let(::SocketProbe)
         }
     }
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/http/StatusCodes.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/http/StatusCodes.kt
@@ -10,6 +10,9 @@
         HttpStatus.REQUEST_TIMEOUT to ResultCode.BODY_TIMEOUT,
         HttpStatus.CONTENT_TOO_LARGE to ResultCode.BODY_TOO_LARGE,
         HttpStatus.REQUEST_HEADER_FIELDS_TOO_LARGE to ResultCode.HEADERS_TOO_LARGE,
+        // Tomcat's answers to an unknown transfer coding and an unknown HTTP version.
+        HttpStatus.NOT_IMPLEMENTED to ResultCode.MALFORMED_REQUEST,
+        HttpStatus.HTTP_VERSION_NOT_SUPPORTED to ResultCode.MALFORMED_REQUEST,
     ).mapKeys { it.key.code }
 
 /** The numbered code of an error that Tomcat or Javalin found and gave only an HTTP [status]. */
--- /dev/null
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/caller/EngineFailureTest.kt
@@ -0,0 +1,120 @@
+package fireflyhinge.daemon.caller
+
+import fireflyhinge.engine.DecodeEvent
+import fireflyhinge.engine.EngineFailure
+import fireflyhinge.engine.EngineRequestId
+import fireflyhinge.result.ResultCode
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+
+class EngineFailureTest {
+    private val broken = EngineFailure.Broken("reset")
+    private val expired = EngineFailure.Expired("dropped")
+    private val refused = EngineFailure.Refused(429, "full")
+    private val unreachable = EngineFailure.Unreachable("timeout")
+    private val all = listOf("t0 ", "t1 ", "t2 ", "t3 ")
+
+    /** [step] of attempt 1 fails with [failure], after which [cancelled] engines may hold something. */
+    private class Case(
+        val step: String,
+        val failure: EngineFailure,
+        val cancelled: List<String>,
+        val resumeAt: Int = 0,
+    )
+
+    private val cases =
+        listOf(
+            Case("prefill", unreachable, emptyList()),
+            Case("prefill", refused, emptyList()),
+            Case("prefill", broken, listOf("p1:1")),
+            Case("prefill", expired, listOf("p1:1")),
+            Case("import", unreachable, listOf("p1:1")),
+            Case("import", refused, listOf("p1:1")),
+            Case("import", broken, listOf("p1:1", "d1:1")),
+            Case("import", expired, listOf("p1:1", "d1:1")),
+            Case("decode0", unreachable, listOf("d1:1")),
+            Case("decode0", refused, listOf("d1:1")),
+            Case("decode0", broken, listOf("d1:1")),
+            Case("decode0", expired, listOf("d1:1")),
+            Case("decode2", broken, listOf("d1:1"), resumeAt = 2),
+            Case("decode3", broken, listOf("d1:1"), resumeAt = 3),
+            Case("decode4", broken, listOf("d1:1"), resumeAt = 4),
+        )
+
+    /** Guards against lost or repeated tokens, and against leaked slots and charges, after any single failure. */
+    @TestFactory
+    fun oneFailureIsInvisibleToTheCaller(): List<DynamicTest> =
+        cases.map { case ->
+            DynamicTest.dynamicTest("${case.step} ${case.failure}") {
+                val f = PipelineFixture()
+                f.engines.faults[case.step to 1] = case.failure
+                val answer = f.run() as ModelResult.Answered
+                assertEquals(all, f.sent)
+                assertEquals(ModelResult.Answered("stop", promptTokens = 3, cachedTokens = 1, 4), answer)
+                assertEquals(all.take(case.resumeAt), f.engines.prefills.last().resumedTokens)
+                assertEquals(case.resumeAt, f.engines.decodes.last().firstIndex)
+                val replica = if (case.step == "prefill") "p1" else "d1"
+                assertEquals(setOf(replica), f.placement.placed.last().avoid)
+                f.assertGivenBack(unused = 13.0 - 7, case.cancelled)
+            }
+        }
+
+    /** Guards against a false "not run", and against a partial answer that looks complete, when every attempt fails. */
+    @TestFactory
+    fun permanentFailureTellsWhatRan(): List<DynamicTest> =
+        cases.map { case ->
+            DynamicTest.dynamicTest("${case.step} ${case.failure}") {
+                val f = PipelineFixture()
+                (1..3).forEach { f.engines.faults[case.step to it] = case.failure }
+                (2..3).forEach { n -> (0..4).forEach { f.engines.faults["decode$it" to n] = case.failure } }
+                val code = (f.run() as ModelResult.Failed).failure.code
+                val expected =
+                    when {
+                        case.resumeAt > 0 -> ResultCode.ANSWER_INTERRUPTED
+                        case.step != "prefill" || case.cancelled.isNotEmpty() -> ResultCode.ATTEMPTS_FAILED
+                        case.failure == refused -> ResultCode.UPSTREAM_REFUSED
+                        else -> ResultCode.UPSTREAM_CONNECT_FAILED
+                    }
+                assertEquals(expected, code)
+                assertEquals(3, f.placement.placed.size)
+                assertEquals(all.take(case.resumeAt), f.sent)
+                val used = if (expected.number in listOf(5001, 5003)) 0 else 3 + case.resumeAt
+                val later = if (case.resumeAt > 0) listOf("d1:1") else case.cancelled
+                val cancelled = (1..3).flatMap { n -> later.map { it.replace('1', '0' + n).replaceAfter(':', "1") } }
+                f.assertGivenBack(unused = 13.0 - used, cancelled)
+            }
+        }
+
+    /** Guards against a needless attempt, or an error, when only the end marker of a full answer was lost. */
+    @Test
+    fun lostEndAfterTheLastAllowedTokenIsNotRetried() {
+        val f = PipelineFixture()
+        f.engines.faults["decode4" to 1] = broken
+        val answer = f.run(maxTokens = 4) as ModelResult.Answered
+        assertEquals("length" to 1, answer.finishReason to f.placement.placed.size)
+        f.assertGivenBack(unused = 0.0, cancelled = listOf("d1:1"))
+    }
+
+    private fun token(id: EngineRequestId, index: Int) = DecodeEvent.Token(id, index, "t$index ")
+
+    /** Guards against answers that cross or arrive late: each script must lead to the same tokens. */
+    @TestFactory
+    fun strayEventsAreDropped(): List<DynamicTest> =
+        mapOf<String, (EngineRequestId) -> List<DecodeEvent>>(
+            "repeat" to { id -> listOf(0, 0, 1, 0, 2, 3).map { token(id, it) } },
+            "other attempt" to { id -> listOf(token(id.copy(attempt = 9), 0)) + (0..3).map { token(id, it) } },
+            "other request" to { id -> listOf(token(id.copy(request = "x"), 0)) + (0..3).map { token(id, it) } },
+            "gap" to { id -> listOf(0, 2, 3).map { token(id, it) } },
+            "early end" to { id -> listOf(token(id, 0), DecodeEvent.End(id, "stop", tokens = 4)) },
+            "end of other" to { id -> listOf(token(id, 0), DecodeEvent.End(id.copy(attempt = 9), "stop", 1)) },
+        ).map { (name, script) ->
+            DynamicTest.dynamicTest(name) {
+                val f = PipelineFixture()
+                f.engines.script = script
+                assertEquals("stop", (f.run() as ModelResult.Answered).finishReason)
+                assertEquals(all, f.sent)
+            }
+        }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/caller/FakeCaller.kt
@@ -0,0 +1,11 @@
+package fireflyhinge.daemon.caller
+
+/** A caller that departs when [gone] is set. */
+class FakeCaller : CallerLink {
+    @Volatile
+    var gone = false
+
+    override fun departed(): Boolean = gone
+
+    override fun <T> interruptible(block: () -> T): T = block()
+}
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/fake/FakeEngines.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/fake/FakeEngines.kt
@@ -36,12 +36,10 @@
     ): EngineResult<PrefillResult> {
         prefills.add(request)
         faults["prefill" to request.id.attempt]?.let { return EngineResult.Failed(it) }
-        try {
+        return interruptible {
             before(request.id, -1)
-        } catch (_: InterruptedException) {
-            return EngineResult.Failed(EngineFailure.Cancelled)
+            EngineResult.Ok(PrefillResult(request.id, "kv", 3 + request.resumedTokens.size, 1, 10, 900))
         }
-        return EngineResult.Ok(PrefillResult(request.id, "kv", 3 + request.resumedTokens.size, 1, 10, 900))
     }
 
     override fun importKv(address: String, request: ImportRequest, timeoutMillis: Long): EngineResult<Unit> =
@@ -54,6 +52,10 @@
         onEvent: (DecodeEvent) -> Boolean,
     ): EngineResult<DecodeEvent.End> {
         decodes.add(request)
+        return interruptible { stream(request, onEvent) }
+    }
+
+    private fun stream(request: DecodeRequest, onEvent: (DecodeEvent) -> Boolean): EngineResult<DecodeEvent.End> {
         val total = minOf(length, request.maxTokens)
         val usual = (request.firstIndex until total).map { DecodeEvent.Token(request.id, it, "t$it ") }
         val events = script?.takeIf { request.id.attempt == 1 }?.invoke(request.id) ?: usual
@@ -79,6 +81,13 @@
 
     override fun order(address: String, order: EngineOrder): EngineResult<Unit> = EngineResult.Ok(Unit)
 
+    private fun <T> interruptible(block: () -> EngineResult<T>): EngineResult<T> =
+        try {
+            block()
+        } catch (_: InterruptedException) {
+            EngineResult.Failed(EngineFailure.Cancelled)
+        }
+
     private fun fault(id: EngineRequestId, index: Int) =
         faults["decode$index" to id.attempt]?.let { EngineResult.Failed(it) }
 }
