Add the admin API

Cause: operators change configuration, drain and fence through any daemon. Ruled out: repeating a write without a reply unconditionally, which could undo another operator's change; it is repeated only as the same conditional update while the object has its old version.

--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/admin/AdminApi.kt
@@ -0,0 +1,49 @@
+package fireflyhinge.daemon.admin
+
+import fireflyhinge.config.ConfigKinds
+import fireflyhinge.daemon.config.ConfigService
+import fireflyhinge.membership.Membership
+import fireflyhinge.peer.PeerTransport
+import fireflyhinge.result.Outcome
+import fireflyhinge.store.Store
+
+/**
+ * All operations of the admin API.
+ *
+ * @param setDraining begins or ends draining of this VM.
+ */
+class AdminApi(
+    store: Store,
+    config: ConfigService,
+    membership: Membership,
+    peers: PeerTransport,
+    setDraining: (Boolean) -> Unit,
+) {
+    private val held = { config.copy }
+    private val writer = ObjectWriter(store) { config.offer(listOf(it)) }
+
+    /** Templates. */
+    val templates = ObjectAdmin(ConfigKinds.TEMPLATES, writer, held, TemplateCheck(held)::faults)
+
+    /** Routes. */
+    val routes = ObjectAdmin(ConfigKinds.ROUTES, writer, held)
+
+    /** Upstreams. */
+    val upstreams = ObjectAdmin(ConfigKinds.UPSTREAMS, writer, held)
+
+    /** Workspaces. */
+    val workspaces = WorkspaceAdmin(writer, held)
+
+    /** Keys. */
+    val keys = KeyAdmin(writer, held)
+
+    /** VMs. */
+    val vms = VmAdmin(membership, peers, writer, setDraining = setDraining)
+
+    /** The fleet. */
+    val fleet = FleetAdmin(membership, config, peers)
+
+    /** Marks upstream [name] as leaving or, if [leaving] is false, puts it back into service. */
+    fun drainUpstream(name: String, leaving: Boolean, options: ChangeOptions): Outcome<Change> =
+        upstreams.edit(name, options) { it.put("leaving", leaving) }
+}
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/config/ConfigService.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/config/ConfigService.kt
@@ -34,7 +34,7 @@
     val endpoints: List<PeerEndpoint<*>> =
         listOf(
             PeerEndpoint(ConfigPeers.PATH, ConfigMessage::class.java, peers::onMessage),
-            PeerEndpoint(VersionsRequest.PATH, VersionsRequest::class.java) { versions(it) },
+            PeerEndpoint(VersionsRequest.PATH, VersionsRequest::class.java, ::versions),
         )
 
     /** The copy that this VM holds. */
@@ -68,6 +68,7 @@
         peers.close()
     }
 
-    private fun versions(request: VersionsRequest): VersionsAnswer =
+    /** Versions of the objects that [request] names. */
+    fun versions(request: VersionsRequest): VersionsAnswer =
         VersionsAnswer(request.objects.associate { it.toString() to (holder.copy.version(it) ?: 0) }, digest())
 }
