--- a/daemon/src/main/kotlin/fireflyhinge/daemon/cell/OwnerRouter.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/OwnerRouter.kt
@@ -30,13 +30,13 @@
     ): CompletableFuture<PlaceReply?> {
         if (isLocal(address)) return cells.ask(request).thenApply { it }
         val vm = target(address, failures) ?: return CompletableFuture.completedFuture(null)
-        return CompletableFuture.supplyAsync({ post(vm, CellService.PLACE_PATH, request) }, executor)
+        return CompletableFuture.supplyAsync({ post(vm, CellService.PLACE_PATH, request, PLACE_MILLIS) }, executor)
     }
 
     /** Answer of the owner to [batch], or null if none came. */
     internal fun tickets(address: CellAddress, batch: TicketBatch, failures: Int): TicketReply? {
         if (isLocal(address)) return cells.tickets(batch)
-        return target(address, failures)?.let { post<TicketReply>(it, CellService.TICKETS_PATH, batch) }
+        return target(address, failures)?.let { post<TicketReply>(it, CellService.TICKETS_PATH, batch, TICKETS_MILLIS) }
     }
 
     /** Whether this daemon acts for the cell itself. */
@@ -54,10 +54,13 @@
         return if (candidates.isEmpty()) null else candidates[failures % candidates.size]
     }
 
-    private inline fun <reified T : Any> post(vm: String, path: String, message: Any): T? =
-        (transport.post(vm, path, message, T::class.java, POST_MILLIS) as? PeerResult.Ok)?.value
+    private inline fun <reified T : Any> post(vm: String, path: String, message: Any, millis: Long): T? =
+        (transport.post(vm, path, message, T::class.java, millis) as? PeerResult.Ok)?.value
 
     private companion object {
-        const val POST_MILLIS = 3_000L
+        const val PLACE_MILLIS = 3_000L
+
+        /** Short, so that a silent owner leaves time to renew with its successor before the tickets expire. */
+        const val TICKETS_MILLIS = 1_500L
     }
 }
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/cell/FakeFleet.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/cell/FakeFleet.kt
@@ -3,17 +3,14 @@
 import fireflyhinge.Json
 import fireflyhinge.config.ConfigSnapshot
 import fireflyhinge.config.ConfigSource
-import fireflyhinge.config.Priority
 import fireflyhinge.config.Upstream
 import fireflyhinge.config.UpstreamRole
-import fireflyhinge.engine.Holder
 import fireflyhinge.lease.ShardOwnership
 import fireflyhinge.membership.Member
 import fireflyhinge.membership.Membership
 import fireflyhinge.peer.PeerEndpoint
 import fireflyhinge.peer.PeerResult
 import fireflyhinge.peer.PeerTransport
-import fireflyhinge.peer.PlaceRequest
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import java.util.concurrent.ConcurrentHashMap
 
@@ -65,22 +62,6 @@
         val router = OwnerRouter(cells = service, ownership = this, membership = this, transport = this)
         val client = PeerPlacementClient(router = router, config = this, registry = registry)
 
-        fun request(id: String, maxWaitMillis: Long = 5_000, priority: Priority = Priority.BATCH) =
-            PlaceRequest(
-                requestId = id,
-                attempt = 1,
-                holder = Holder(vm, 1),
-                service = "m",
-                workspace = "w",
-                failureDomain = region,
-                priority = priority,
-                promptTokens = 100,
-                maxOutputTokens = 100,
-                prefixHashes = emptyList(),
-                maxWaitMillis = maxWaitMillis,
-                fingerprint = id,
-            )
-
         override fun shardOf(key: String) = 0
 
         override fun actingEpoch(shard: Int): Long? = epoch.takeIf { owners[region] == vm }
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/cell/PeerPlacementClientTest.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/cell/PeerPlacementClientTest.kt
@@ -25,7 +25,7 @@
     }
 
     private fun place(vm: String, id: String, maxWaitMillis: Long = 5_000, abandoned: () -> Boolean = { false }) =
-        fleet[vm].client.place(fleet[vm].request(id, maxWaitMillis), abandoned)
+        fleet[vm].client.place(placeRequest(id, vm, maxWaitMillis), abandoned)
 
     private fun placed(outcome: Outcome<PlaceReply.Placed>): PlaceReply.Placed =
         (outcome as? Outcome.Success)?.value ?: error("not placed: $outcome")
