Pace retries instead of ending accepted requests when the budget is used up

Change: one budget at the caller side, refilled by time as well; requests wait for it. Batch requests have 20 attempts. The cell's own budget is removed: its refusal ended requests whose answer had begun. Failed attempts are logged.

--- a/core/src/main/kotlin/fireflyhinge/retry/RetryBudgets.kt
+++ b/core/src/main/kotlin/fireflyhinge/retry/RetryBudgets.kt
@@ -1,9 +1,10 @@
 package fireflyhinge.retry
 
+import fireflyhinge.time.MonotonicClock
 import java.util.concurrent.ConcurrentHashMap
 
 /** Retry budgets of this daemon, one for each workspace and one for each pool. */
-class RetryBudgets {
+class RetryBudgets(private val clock: MonotonicClock = MonotonicClock.SYSTEM) {
     private val workspaces = ConcurrentHashMap<String, RetryBudget>()
     private val pools = ConcurrentHashMap<String, RetryBudget>()
 
@@ -14,8 +15,15 @@
     }
 
     /** Takes one retry from both budgets; false when either is used up. */
-    fun tryRetry(workspace: String, pool: String): Boolean =
-        workspaces.budget(workspace).tryRetry() && pools.budget(pool).tryRetry()
+    fun tryRetry(workspace: String, pool: String): Boolean {
+        val own = workspaces.budget(workspace)
+        if (!own.tryRetry()) return false
+        if (pools.budget(pool).tryRetry()) return true
+        own.giveBack()
+        return false
+    }
 
-    private fun ConcurrentHashMap<String, RetryBudget>.budget(name: String) = computeIfAbsent(name) { RetryBudget() }
+    private fun ConcurrentHashMap<String, RetryBudget>.budget(name: String) = computeIfAbsent(
+        name
+    ) { RetryBudget(clock) }
 }
--- a/core/src/main/kotlin/fireflyhinge/schedule/Cell.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/Cell.kt
@@ -22,7 +22,6 @@
     private val queue = FairQueue(settings.minimumClassWeight) { maxOf(weights[it] ?: 1.0, MIN_WEIGHT) }
     private val book = TicketBook(settings)
     private val orphans = OrphanWatch(settings, book)
-    private val retries = RetryBudgets(settings)
     private val rate = ServiceRate()
     private val retryAfterMillis = settings.firstTokenMillis
     private val withdrawn = mutableListOf<String>()
@@ -102,7 +101,6 @@
         }
         val deadline = admission.deadline(request, now)
         admission.refusal(request, deadline, now)?.let { return it.reply(retryAfterMillis) }
-        if (!retries.admit(request, now)) return RefusalReason.RETRY_BUDGET.reply(retryAfterMillis)
         queue.add(QueueEntry(request = request, deadline = deadline, askedAt = now))
         return null
     }
--- a/core/src/main/kotlin/fireflyhinge/schedule/RefusalReason.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/RefusalReason.kt
@@ -10,9 +10,6 @@
     /** The workspace's own queue is full. */
     QUEUE_FULL,
 
-    /** The retry budget of the workspace or the cell is used up. */
-    RETRY_BUDGET,
-
     /** The cell has no prefill or no decode replica. */
     NO_REPLICA,
 
--- a/core/src/main/kotlin/fireflyhinge/schedule/SchedulerSettings.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/SchedulerSettings.kt
@@ -35,7 +35,5 @@
     val kvBytesPerToken: Long = 20_000,
     val initialPrefillTokensPerMilli: Double = 10.0,
     val initialStepMillis: Double = 40.0,
-    val retryRatio: Double = 0.1,
-    val retryMinimum: Double = 3.0,
     val policy: CellPolicy = CellPolicy.RESERVING,
 )
--- /dev/null
+++ b/core/src/test/kotlin/fireflyhinge/retry/RetryBudgetTest.kt
@@ -0,0 +1,33 @@
+package fireflyhinge.retry
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+class RetryBudgetTest {
+    private var now = 0L
+    private val budgets = RetryBudgets { now }
+
+    /** Guards against retries that multiply the load of a failing pool, and against a budget that is never refilled. */
+    @Test
+    fun retriesStayWithinTheBudgetUntilItIsRefilled() {
+        val steps =
+            listOf(
+                "3 are saved at the start" to ({ }) to 3,
+                "10 requests bring one" to { repeat(10) { budgets.accepted("w", "pool") } } to 1,
+                "a second brings 5" to { now += 1_000_000_000 } to 5,
+                "an hour brings no more than the limit" to { now += 3_600_000_000_000 } to 100,
+            )
+        steps.forEach { (step, expected) ->
+            step.second()
+            assertEquals(expected, (1..1000).count { budgets.tryRetry("w", "pool") }, step.first)
+        }
+    }
+
+    /** Guards against a workspace that loses its own budget to a pool whose budget is used up. */
+    @Test
+    fun aRefusalByThePoolCostsTheWorkspaceNothing() {
+        repeat(3) { budgets.tryRetry("other", "pool") }
+        assertEquals(false, budgets.tryRetry("w", "pool"))
+        assertEquals(3, (1..10).count { budgets.tryRetry("w", "pool2") })
+    }
+}
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelRun.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelRun.kt
@@ -3,6 +3,8 @@
 import fireflyhinge.engine.EngineRequestId
 import fireflyhinge.result.Outcome
 import fireflyhinge.retry.RetryBudgets
+import fireflyhinge.time.millis
+import org.slf4j.LoggerFactory
 
 /** The attempts of one charged request. Used by one thread, once. */
 internal class ModelRun(
@@ -12,6 +14,7 @@
     private val placements: PlacementStep,
     private val progress: AnswerProgress,
 ) {
+    private val log = LoggerFactory.getLogger(javaClass)
     private val job = placements.job
     private val caller = placements.caller
     private var alone = false
@@ -21,7 +24,7 @@
     /** Tries until the request has ended or its attempts are used up. A [suspect] runs alone on its replicas. */
     fun run(cleanup: EngineCleanup, crashes: CrashDetector, suspect: Boolean): ModelResult {
         alone = suspect
-        for (number in 1..limits.attempts) {
+        for (number in 1..limits.attempts(job.priority)) {
             attempt(number, cleanup, crashes)?.let { return it }
         }
         return failed()
@@ -47,14 +50,25 @@
         }
     }
 
+    /**
+     * Waits for the retry budget. An accepted request is paced rather than ended when the budget is used up, because
+     * its answer may have begun.
+     */
     private fun mayTry(): Boolean {
         val failure = last?.failure ?: return true
-        return failure.ranNothing() || budgets.tryRetry(job.access.scope, job.route.service)
+        if (failure.ranNothing()) return true
+        val deadline = job.arrivedMillis + limits.retryWait(job.priority)
+        while (!budgets.tryRetry(job.access.scope, job.route.service)) {
+            if (ports.clock.millis() > deadline || pointless(ports, job, caller)) return false
+            Thread.sleep(BUDGET_POLL_MILLIS)
+        }
+        return true
     }
 
     private fun retried(result: AttemptResult.Failed, watch: CrashDetector.Watch): ModelResult? {
         last = result
         avoid = avoid + result.replica
+        log.warn("an attempt failed at replica {}: {}", result.replica, result.failure)
         if (!watch.crashed(job, result, alone)) return null
         // A second crash as the only suspect bars the fingerprint, so no further replica is risked.
         if (alone) return failed()
@@ -79,4 +93,8 @@
             cachedTokens = progress.cachedTokens,
             completionTokens = progress.next,
         )
+
+    private companion object {
+        const val BUDGET_POLL_MILLIS = 20L
+    }
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/PipelineLimits.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/PipelineLimits.kt
@@ -5,7 +5,9 @@
 /**
  * Deadlines of a model request, in milliseconds.
  *
- * @property attempts placements tried for one request.
+ * @property attempts placements tried for an interactive request.
+ * @property batchAttempts placements tried for a batch request, which may wait but must not be lost. Crashes are
+ * bounded more tightly, by crash attribution.
  * @property firstTokenMillis target for the first token; an interactive request that cannot meet it is refused early.
  * @property chargeMillis longest wait of an interactive request for its tokens.
  * @property batchMillis longest wait of a batch request for its tokens, and again for its placement.
@@ -14,9 +16,11 @@
  * @property importMillis deadline of the KV transfer; the prefill replica keeps its result for less than a second.
  * @property progressMillis longest silence of a decode stream.
  * @property crashProbeMillis longest wait for the verdict whether a broken replica crashed.
+ * @property interactiveRetryMillis time for which a failed interactive request waits for the retry budget.
  */
 data class PipelineLimits(
     val attempts: Int = 3,
+    val batchAttempts: Int = 20,
     val firstTokenMillis: Long = 1300,
     val chargeMillis: Long = 1000,
     val batchMillis: Long = 600_000,
@@ -25,10 +29,17 @@
     val importMillis: Long = 800,
     val progressMillis: Long = 2000,
     val crashProbeMillis: Long = 500,
+    val interactiveRetryMillis: Long = 10_000,
 ) {
+    /** Placements tried for one request. */
+    fun attempts(priority: Priority): Int = if (priority == Priority.BATCH) batchAttempts else attempts
+
     /** Longest wait for a charge. */
     fun chargeWait(priority: Priority): Long = if (priority == Priority.BATCH) batchMillis else chargeMillis
 
+    /** Time after the arrival for which a failed request waits for the retry budget. */
+    fun retryWait(priority: Priority): Long = if (priority == Priority.BATCH) batchMillis else interactiveRetryMillis
+
     /** Longest wait for a placement, [elapsed] milliseconds after the request came. */
     fun placeWait(priority: Priority, elapsed: Long): Long =
         if (priority == Priority.BATCH) batchMillis else maxOf(MIN_PLACE_MILLIS, firstTokenMillis - elapsed)
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/caller/PipelineExitTest.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/caller/PipelineExitTest.kt
@@ -5,6 +5,7 @@
 import fireflyhinge.engine.EngineResult
 import fireflyhinge.result.Outcome
 import fireflyhinge.result.ResultCode
+import fireflyhinge.retry.RetryBudgets
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.DynamicTest
@@ -149,10 +150,20 @@
     /** Guards against retries that multiply the load of a failing pool. */
     @Test
     fun retriesStayWithinTheBudget() {
-        val f = PipelineFixture()
+        // The budgets' clock stands still and nothing waits for it, so that only requests refill them.
+        val f = PipelineFixture(PipelineLimits(interactiveRetryMillis = 0), RetryBudgets { 0 })
         (1..3).forEach { f.engines.faults["decode0" to it] = broken }
         repeat(20) { f.run() }
         // 20 requests, 3 retries saved at the start and a tenth of a retry for each request.
         assertEquals(20 + 5, f.placement.placed.size)
     }
+
+    /** Guards against an accepted request that ends because the budget is used up for a moment. */
+    @Test
+    fun requestsWaitForTheBudgetInsteadOfEnding() {
+        val f = PipelineFixture()
+        f.engines.faults["decode0" to 1] = broken
+        val results = (1..6).map { f.run() }
+        assertEquals(6, results.filterIsInstance<ModelResult.Answered>().size)
+    }
 }
