--- a/daemon/src/test/kotlin/fireflyhinge/daemon/engine/HttpEngineClientTest.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/engine/HttpEngineClientTest.kt
@@ -30,6 +30,18 @@
         }
     }
 
+    /** Guards against crossed and repeated events that get into the answer (P5). */
+    @Test
+    fun crossedEventsAreDropped() {
+        EngineFixture().use { f ->
+            f.decode.faults.crossEvents = true
+            f.prepare()
+            val text = StringBuilder()
+            f.decode { text.collect(it) }.value()
+            assertEquals(expected, text.toString())
+        }
+    }
+
     /** Guards against a resumed answer that repeats or loses tokens, and against resuming with foreign tokens. */
     @Test
     fun resumedDecodeContinuesAtTheNextIndex() {
@@ -129,8 +141,20 @@
             f.prefill.faults.refuse = true
             f.prefill()
         }
+        val cancelledPrefill: (EngineFixture) -> EngineResult<*> = { f ->
+            f.cancelSoon(f.prefill.address)
+            f.prefill(messages = listOf(ChatMessage(role = "user", content = "w ".repeat(300_000))))
+        }
+        val cancelledImport: (EngineFixture) -> EngineResult<*> = { f ->
+            f.prefill.faults.stallTransfers = true
+            val kv = f.prefill().value()
+            f.cancelSoon(f.decode.address)
+            f.import(kv, timeoutMillis = 3_000)
+        }
         val cases =
             listOf(
+                Triple("cancelled prefill", EngineFailure.Cancelled::class.java, cancelledPrefill),
+                Triple("cancelled import", EngineFailure.Cancelled::class.java, cancelledImport),
                 Triple("stalled transfer", EngineFailure.Broken::class.java, stalled),
                 Triple("expired KV cache", EngineFailure.Expired::class.java, expired),
                 Triple("slots full", EngineFailure.Refused::class.java, full),
@@ -236,6 +260,12 @@
         }
     }
 
+    private fun EngineFixture.cancelSoon(address: String) =
+        thread {
+            while (client.held(address).value().isEmpty()) Thread.sleep(10)
+            client.cancel(address, EngineFixture.ID)
+        }
+
     private fun atFirstToken(event: DecodeEvent, action: () -> Unit): Boolean {
         if (event is DecodeEvent.Token && event.index == 0) action()
         return true
--- a/standin/src/main/kotlin/fireflyhinge/standin/engine/DecodeHandler.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/engine/DecodeHandler.kt
@@ -40,7 +40,9 @@
         var index = request.firstIndex
         var token = engine.decodes.token(slot = slot, index = index)
         while (token != null) {
-            if (!send("token", DecodeEvent.Token(id = slot.id, index = index, text = token))) return false
+            val event = DecodeEvent.Token(id = slot.id, index = index, text = token)
+            val events = if (host.faults.crossEvents) crossed(event) else listOf(event)
+            if (!events.all { send("token", it) }) return false
             index += 1
             token = engine.decodes.token(slot = slot, index = index)
         }
@@ -52,6 +54,12 @@
         return send("end", DecodeEvent.End(id = slot.id, finishReason = reason, tokens = slot.count))
     }
 
+    /** [event] between an event of another attempt and its own repetition. */
+    private fun crossed(event: DecodeEvent.Token): List<DecodeEvent.Token> {
+        val foreign = event.copy(id = event.id.copy(attempt = event.id.attempt + 1), text = "foreign ")
+        return listOf(foreign, event, event)
+    }
+
     private companion object {
         val WHITESPACE = Regex("\\s+")
     }
--- a/standin/src/main/kotlin/fireflyhinge/standin/engine/EngineControl.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/engine/EngineControl.kt
@@ -17,6 +17,7 @@
             host.faults.poison = ctx.decodeBody<JsonNode>()["words"].map { it.asText() }.toSet()
         }
         change(routes, "/control/stall-transfers") { host.faults.stallTransfers = isOn(it) }
+        change(routes, "/control/cross-events") { host.faults.crossEvents = isOn(it) }
         change(routes, "/control/refuse") { host.faults.refuse = isOn(it) }
         change(routes, "/control/leaving") { host.faults.leaving = isOn(it) }
         routes.get("/control/counts") { it.reply(status = 200, body = host.counts.snapshot()) }
--- a/standin/src/main/kotlin/fireflyhinge/standin/engine/EngineFaults.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/engine/EngineFaults.kt
@@ -11,6 +11,9 @@
     /** Whether calls are refused with 503 before they run. */
     @Volatile var refuse: Boolean = false
 
+    /** Whether decode streams also carry events of other attempts and repeat earlier tokens. */
+    @Volatile var crossEvents: Boolean = false
+
     /** Whether the load report says that the engine is leaving. */
     @Volatile var leaving: Boolean = false
 }
