Load the classes of a transfer when an engine stand-in starts

Cause: in a trial with two fresh processes on a busy machine, all 20 first imports were answered 410: the first fetch took longer than the 900 ms for which a finished prefill is retained.

Ruled out: a longer retention, since the stated 900 ms would no longer be tested.

Change: the engine stand-in decodes its messages once and fetches an unknown KV cache from itself before it reports its address.

--- a/standin/src/main/kotlin/fireflyhinge/standin/EngineServer.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/EngineServer.kt
@@ -9,6 +9,7 @@
 import fireflyhinge.standin.engine.EngineRoutes
 import fireflyhinge.standin.engine.EngineSettings
 import fireflyhinge.standin.engine.KvFetcher
+import fireflyhinge.standin.engine.WarmUp
 import fireflyhinge.standin.http.StandinHost
 
 /** Stand-in for a prefill or decode engine on [listen] (`host:port`, port 0 selects a free one). */
@@ -30,6 +31,11 @@
             EngineControl(host = state, received = received).addTo(config.routes)
         }
 
+    init {
+        WarmUp.run(fetcher = fetcher, address = host.address)
+        received.reset()
+    }
+
     /** `host:port` as bound. */
     val address: String get() = host.address
 
