--- a/core/src/main/kotlin/fireflyhinge/lease/LeaseBook.kt
+++ b/core/src/main/kotlin/fireflyhinge/lease/LeaseBook.kt
@@ -42,7 +42,7 @@
     fun beat(view: RegionView, storeAnswers: Boolean, now: Long) {
         expireAfterGap(now)
         state.owners.useEvidence(view.dead, now)
-        takeovers.onEvidence(view, storeAnswers, writer.writing, now)
+        takeovers.onEvidence(view, storeAnswers, now)
     }
 
     private fun expireAfterGap(now: Long) {
--- a/core/src/main/kotlin/fireflyhinge/lease/LeaseState.kt
+++ b/core/src/main/kotlin/fireflyhinge/lease/LeaseState.kt
@@ -15,6 +15,12 @@
     /** Newest copy of the region's map. */
     var copy: MapCopy? = null
 
+    /** Write whose result is not known. */
+    var pending: MapWrite? = null
+
+    /** Shards of [pending]. */
+    val writing: Set<Int> get() = pending?.changes.orEmpty().keys
+
     /** Entries of [copy] by shard number. */
     val entries: List<ShardEntry> get() = copy?.map?.shards.orEmpty()
 
--- a/core/src/main/kotlin/fireflyhinge/lease/MapWriter.kt
+++ b/core/src/main/kotlin/fireflyhinge/lease/MapWriter.kt
@@ -4,17 +4,13 @@
 internal class MapWriter(private val state: LeaseState) {
     private val takeovers = TakeoverWrites(state)
     private val balance = BalanceWatch(state)
-    private var pending: MapWrite? = null
     private var uncertain = false
 
-    /** Shards of the write whose result is not known. */
-    val writing: Set<Int> get() = pending?.changes.orEmpty().keys
-
     /** Learns [newer] if it is newer, which also settles a write of an older version. */
     fun learn(newer: MapCopy, now: Long): Boolean {
         if (newer.version <= (state.copy?.version ?: Long.MIN_VALUE)) return false
         state.copy = newer
-        state.successors.learn(newer.map, pending?.changes.orEmpty(), now)
+        state.successors.learn(newer.map, state.pending?.changes.orEmpty(), now)
         state.owners.learn(newer.map, now)
         state.peers.retain(newer.map.shards.flatMap { it.former + listOfNotNull(it.successor) }.toSet())
         settle()
@@ -22,24 +18,28 @@
     }
 
     private fun settle() {
-        writing.forEach(state.owners::endWrite)
-        pending = null
+        state.writing.forEach(state.owners::endWrite)
+        state.pending = null
         uncertain = false
     }
 
     /** Ends a write that did not take effect; with [maybe] it is repeated until the store tells. */
     fun failed(maybe: Boolean) {
-        if (pending == null) return
+        if (state.pending == null) return
         uncertain = uncertain || maybe
         if (!uncertain) settle()
     }
 
     /** The next write, or the one whose result is not known. It counts as sent from now on. */
-    fun next(view: RegionView, now: Long): MapWrite? = plan(view, now)?.also { if (it !== pending) begin(it, now) }
+    fun next(view: RegionView, now: Long): MapWrite? {
+        val write = plan(view, now) ?: return null
+        if (write !== state.pending) begin(write, now)
+        return write
+    }
 
     /** What [next] would return. */
     fun plan(view: RegionView, now: Long): MapWrite? {
-        pending?.let { return it }
+        state.pending?.let { return it }
         val known = state.copy ?: return initial(view)
         val draft = MapDraft(known.map, view)
         ownChanges(view, draft, now)
@@ -56,7 +56,7 @@
     }
 
     private fun begin(write: MapWrite, now: Long) {
-        pending = write
+        state.pending = write
         write.changes.forEach { (shard, entry) ->
             val stop = entry.owner != state.self
             state.owners.beginWrite(shard, stop = stop, givesRight = entry.successor != null, now = now)
--- a/core/src/main/kotlin/fireflyhinge/lease/OwnerRules.kt
+++ b/core/src/main/kotlin/fireflyhinge/lease/OwnerRules.kt
@@ -31,19 +31,35 @@
     private fun liveFormer(lease: OwnerLease, now: Long): List<ProcessId> =
         if (now - lease.learnedAt >= times.history) emptyList() else lease.entry.former.filterNot(view.dead)
 
-    /** Hands shards to candidates that own at least two fewer than this process. */
-    fun rebalance(leases: Map<Int, OwnerLease>, draft: MapDraft, now: Long) {
-        for ((shard, lease) in leases) {
-            val owned = draft.owned()
-            val mine = owned[self] ?: return
-            val target = owned.entries.minWith(compareBy({ it.value }, { it.key.vm }))
-            if (mine - target.value < 2) return
-            if (shard in draft.changes || !mayMove(lease, now)) continue
-            val successor = lease.entry.successor.takeIf { it != target.key } ?: self
-            draft.set(shard, lease.entry.withOwner(next = target.key, successor = successor))
+    /**
+     * Hands shards to candidates that own at least two fewer than this process. A shard is handed only to its present
+     * successor, and only once no replaced successor has a right: a process that still had one against this owner
+     * could not tell that the new owner acts. So a candidate is first made the successor.
+     */
+    fun rebalance(leases: Map<Int, OwnerLease>, draft: MapDraft, now: Long) =
+        moves(draft.owned()).forEach { (target, count) ->
+            val movable = leases.filter { (shard, lease) -> shard !in draft.changes && lease.confirmed && !lease.alone }
+            val prepared = movable.filterValues { it.entry.successor == target }.entries.take(count)
+            prepared.filter { liveFormer(it.value, now).isEmpty() }.forEach { (shard, lease) ->
+                draft.set(shard, lease.entry.withOwner(target, successor = draft.successorFor(shard, target)))
+            }
+            movable.filterValues { it.entry.successor != target }.entries.take(count - prepared.size).forEach {
+                val former = liveFormer(it.value, now) + listOfNotNull(it.value.entry.successor) - target
+                draft.set(it.key, it.value.entry.withSuccessor(next = target, former = former))
+            }
         }
-    }
 
-    private fun mayMove(lease: OwnerLease, now: Long) =
-        lease.confirmed && lease.entry.successor != null && liveFormer(lease, now).isEmpty()
+    /** Number of shards to hand to each candidate so that none owns two fewer than this process. */
+    private fun moves(owned: Map<ProcessId, Int>): Map<ProcessId, Int> {
+        val counts = owned.toMutableMap()
+        val moves = sortedMapOf<ProcessId, Int>(compareBy { it.vm })
+        while (true) {
+            val mine = counts[self] ?: return moves
+            val target = counts.entries.minWith(compareBy({ it.value }, { it.key.vm }))
+            if (mine - target.value < 2) return moves
+            moves.merge(target.key, 1, Int::plus)
+            counts[self] = mine - 1
+            counts[target.key] = target.value + 1
+        }
+    }
 }
--- a/core/src/main/kotlin/fireflyhinge/lease/PromiseHandler.kt
+++ b/core/src/main/kotlin/fireflyhinge/lease/PromiseHandler.kt
@@ -17,7 +17,9 @@
 
     private fun promise(shard: Int, epoch: Long, request: LeaseRequest, now: Long): Boolean {
         val owner = ProcessId(vm = request.owner, incarnation = request.incarnation)
-        if (contradicts(shard, epoch, owner)) return false
+        // A takeover that was sent may be in the store, with a successor that takes over in turn without asking the
+        // present owner. That owner must not act on a promise made meanwhile.
+        if (shard in state.writing || contradicts(shard, epoch, owner)) return false
         if (!state.successors.promise(shard, owner, epoch, request.echo, now)) return false
         state.owners.yieldTo(shard, epoch)
         return true
--- a/core/src/main/kotlin/fireflyhinge/lease/Takeovers.kt
+++ b/core/src/main/kotlin/fireflyhinge/lease/Takeovers.kt
@@ -3,15 +3,15 @@
 /** Takeover by evidence, and the questions to replaced successors that must come before a takeover. */
 internal class Takeovers(private val state: LeaseState) {
     /**
-     * Acts on evidence for shards whose owner is dead, while the store does not answer. Shards in [writing] are left
-     * out: their write may have made another process a successor with rights of its own.
+     * Acts on evidence for shards whose owner is dead, while the store does not answer. Shards with a write whose
+     * result is not known are left out: it may have made another process a successor with rights of its own.
      */
-    fun onEvidence(view: RegionView, storeAnswers: Boolean, writing: Set<Int>, now: Long) {
+    fun onEvidence(view: RegionView, storeAnswers: Boolean, now: Long) {
         val rules = TakeoverRules(state, view)
         state.entries.forEachIndexed { shard, entry ->
             if (entry.successor != state.self || !view.dead(entry.owner)) return@forEachIndexed
             state.successors.noteEvidence(shard, now)
-            val free = shard !in writing && state.owners.all[shard] == null
+            val free = shard !in state.writing && state.owners.all[shard] == null
             if (!storeAnswers && free && rules.byEvidence(shard, entry, now)) {
                 state.owners.takeOnEvidence(shard, entry.withOwner(next = state.self, successor = null), now)
             }
--- /dev/null
+++ b/core/src/test/kotlin/fireflyhinge/lease/SimNode.kt
@@ -0,0 +1,80 @@
+package fireflyhinge.lease
+
+import fireflyhinge.quota.QuotaShard
+import kotlin.random.Random
+
+/** One VM of the simulation, with a drifting clock and a process that can pause, crash and restart. */
+internal class SimNode(
+    val vm: String,
+    val failureDomain: String,
+    private val events: SimEvents,
+    private val random: Random,
+    private val times: LeaseTimes,
+) {
+    private val drift = 1 + (random.nextDouble() * 2 - 1) / 100
+    private val offset = random.nextLong(1_000 * SECOND)
+
+    /** The process that runs now; a new one after each restart. */
+    var process = ProcessId(vm, incarnation = 1)
+        private set
+    var book = newBook()
+        private set
+    var quota = QuotaShard()
+        private set
+    var alive = true
+    var pausedUntil = 0L
+    var draining = false
+    var storeAnswers = true
+    var storeBusy = false
+
+    /** Processes that this one has evidence to be dead, and the members that it heard of last. */
+    val dead = HashSet<ProcessId>()
+    val heard = HashMap<String, Pair<ProcessId, Long>>()
+
+    /** The node's monotonic clock. */
+    val clock: Long get() = offset + (events.now * drift).toLong()
+
+    /** Whether the process runs at this moment. */
+    val running: Boolean get() = alive && events.now >= pausedUntil
+
+    /** Runs [action] in the present process: after its pause, and not at all once it has crashed. */
+    fun run(action: () -> Unit) {
+        val target = process
+        when {
+            !alive -> Unit
+            running -> action()
+            else -> events.after(pausedUntil - events.now) { if (process == target) run(action) }
+        }
+    }
+
+    /** Starts a new process. */
+    fun restart() {
+        process = ProcessId(vm, process.incarnation + 1)
+        book = newBook()
+        quota = QuotaShard()
+        alive = true
+        pausedUntil = 0
+        draining = false
+        storeBusy = false
+        dead.clear()
+        heard.clear()
+    }
+
+    private fun newBook() =
+        LeaseBook(process, region = "perth", shardCount = SHARDS, startedAt = clock, times = times)
+
+    /** The region as this node sees it. */
+    fun view(nodes: List<SimNode>): RegionView {
+        val others =
+            nodes.filter { it !== this }.mapNotNull { node ->
+                val (process, at) = heard[node.vm] ?: return@mapNotNull null
+                Candidate(process, node.failureDomain).takeIf { events.now - at < 3 * SECOND && process !in dead }
+            }
+        val own = if (draining) emptyList() else listOf(Candidate(process, failureDomain))
+        return RegionView((others + own).sortedBy { it.process.vm }, draining) { it in dead }
+    }
+
+    companion object {
+        const val SHARDS = 6
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/fireflyhinge/quota/SimQuota.kt
@@ -0,0 +1,56 @@
+package fireflyhinge.quota
+
+import fireflyhinge.config.Priority
+import fireflyhinge.lease.MILLI
+import fireflyhinge.lease.SECOND
+import fireflyhinge.lease.SimEvents
+import fireflyhinge.lease.SimNode
+import fireflyhinge.peer.ChargeReply
+import fireflyhinge.peer.ChargeRequest
+import kotlin.random.Random
+
+/** Askers that send several times the rate of one workspace to whoever acts, and use each charge as late as allowed. */
+internal class SimQuota(private val events: SimEvents, private val random: Random) {
+    private val rate = 1000.0
+    private val burst = 2000.0
+    private val limits = QuotaLimits(rate = rate * QuotaLimits.RATE_FACTOR, depth = burst - rate / 4)
+    private val uses = ArrayList<Pair<Long, Double>>()
+    private var ids = 0
+
+    /** Charges that were used. */
+    val used: Long get() = uses.size.toLong()
+
+    /** Sends one charge to each of [nodes] that acts. */
+    fun charge(nodes: List<SimNode>) {
+        val tokens = random.nextDouble(20.0, 200.0)
+        val request = ChargeRequest("c${ids++}", "shop", tokens, "f", Priority.BATCH, maxWaitMillis = 3_000)
+        nodes.forEach { ask(it, request) }
+    }
+
+    private fun ask(node: SimNode, request: ChargeRequest) {
+        val now = node.clock
+        val epoch = node.book.actingEpoch(0, now) ?: return
+        node.quota.open(epoch, now)
+        val reply = node.quota.charge(request, limits, epoch, now) as? ChargeReply.Granted ?: return
+        val wait = reply.waitMillis * MILLI
+        val drift = random.nextDouble(0.99, 1.01)
+        if (wait > 100 * MILLI) {
+            events.after(((wait * 0.97 - 50 * MILLI) * drift).toLong()) { node.run { ask(node, request) } }
+        } else {
+            val late = random.nextLong(230 * MILLI)
+            uses += events.now + (wait * 1.02 * drift).toLong() + late to request.tokens
+        }
+    }
+
+    /** The first moment at which the uses of some window exceed rate * length + burst, or null. */
+    fun violation(): String? {
+        var level = 0.0
+        var last = 0L
+        uses.sortedBy { it.first }.forEach { (at, tokens) ->
+            level = maxOf(0.0, level - rate * (at - last) / SECOND) + tokens
+            last = at
+            if (level > burst * (1 + 1e-9)) return "${at / MILLI} ms: ${level - burst} tokens over rate and burst"
+        }
+        return null
+    }
+}
