Limit store reads of shard maps and ask new successors at once

Cause: a new owner waited up to 1 s for its first promise, and a daemon that could not read the maps called the store ten times a second. Ruled out: a shorter renewal interval, which costs messages all the time. Conclusion: faster start after a takeover, bounded load in a store outage.

--- a/core/src/main/kotlin/fireflyhinge/lease/LeaseBook.kt
+++ b/core/src/main/kotlin/fireflyhinge/lease/LeaseBook.kt
@@ -59,8 +59,12 @@
         return promises.handle(request, now)
     }
 
-    /** Requests to send now: one to each successor, and one to each replaced successor that must give up its rights. */
-    fun requests(view: RegionView): List<OutgoingLease> = requests.next(takeovers.releasesToAsk(view))
+    /**
+     * Requests to send now: one to each successor, and one to each replaced successor that must give up its rights.
+     * Unless [all] is set, only those that make this process act for shards for which it cannot act yet.
+     */
+    fun requests(view: RegionView, all: Boolean, now: Long): List<OutgoingLease> =
+        if (all) requests.next(takeovers.releasesToAsk(view)) else requests.next(emptyMap()) { it.until < now }
 
     /** Takes the [reply] to [outgoing], which was sent at [sentAt] by this process's clock. */
     fun answered(outgoing: OutgoingLease, reply: LeaseReply, sentAt: Long, now: Long) =
--- a/core/src/main/kotlin/fireflyhinge/lease/LeaseRequests.kt
+++ b/core/src/main/kotlin/fireflyhinge/lease/LeaseRequests.kt
@@ -5,11 +5,14 @@
 
 /** Builds an owner's lease requests and takes their answers. Not thread-safe. */
 internal class LeaseRequests(private val state: LeaseState) {
-    /** One request to each successor, joined with the [releases] to ask of replaced successors. */
-    fun next(releases: Map<ProcessId, List<Pair<Int, Long>>>): List<OutgoingLease> {
+    /** One request to each successor for the leases [wanted], joined with the [releases] to ask of replaced ones. */
+    fun next(
+        releases: Map<ProcessId, List<Pair<Int, Long>>>,
+        wanted: (OwnerLease) -> Boolean = { true },
+    ): List<OutgoingLease> {
         val renewals =
             state.owners.all.entries
-                .filter { (_, lease) -> !lease.alone && !lease.writing }
+                .filter { (_, lease) -> !lease.alone && !lease.writing && wanted(lease) }
                 .groupBy({ checkNotNull(it.value.entry.successor) }, { it.key to it.value.entry.epoch })
         return (renewals.keys + releases.keys).map { to ->
             OutgoingLease(to = to, request = request(to, renewals[to].orEmpty() + releases[to].orEmpty()))
--- a/core/src/test/kotlin/fireflyhinge/lease/LeaseSimulation.kt
+++ b/core/src/test/kotlin/fireflyhinge/lease/LeaseSimulation.kt
@@ -70,10 +70,9 @@
     private fun pass(node: SimNode) {
         val view = node.view(nodes)
         node.book.beat(view, node.storeAnswers, node.clock)
-        if (passes++ % 10 == 0L || random.nextInt(10) == 0) {
-            node.book.requests(view).forEach { send(node, it) }
-            gossip(node)
-        }
+        val all = passes++ % 10 == 0L || random.nextInt(10) == 0
+        node.book.requests(view, all, node.clock).forEach { send(node, it) }
+        if (all) gossip(node)
         if (!node.storeBusy) useStore(node)
     }
 
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/lease/LeaseSender.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/lease/LeaseSender.kt
@@ -6,7 +6,9 @@
 import fireflyhinge.peer.PeerResult
 import fireflyhinge.peer.PeerTransport
 import fireflyhinge.time.MonotonicClock
+import org.slf4j.LoggerFactory
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.SynchronousQueue
 import java.util.concurrent.ThreadPoolExecutor
 import java.util.concurrent.TimeUnit
@@ -15,21 +17,28 @@
 internal class LeaseSender(private val transport: PeerTransport, private val clock: MonotonicClock) : AutoCloseable {
     private val busy = ConcurrentHashMap.newKeySet<ProcessId>()
     private val threads =
-        ThreadPoolExecutor(0, MAX_THREADS, 10, TimeUnit.SECONDS, SynchronousQueue(), { task ->
+        ThreadPoolExecutor(0, MAX_THREADS, 10, TimeUnit.SECONDS, SynchronousQueue()) { task ->
             Thread(task, "lease-sender").apply { isDaemon = true }
-        }, ThreadPoolExecutor.DiscardPolicy())
+        }
 
     /** Sends [outgoing]; [onReply] gets the answer and the time of sending. Nothing is sent while one is in flight. */
     fun send(outgoing: OutgoingLease, onReply: (LeaseReply, Long) -> Unit) {
-        if (threads.activeCount >= MAX_THREADS || !busy.add(outgoing.to)) return
-        threads.execute {
-            try {
-                val sentAt = clock.nanos()
-                val result = post(outgoing)
-                if (result is PeerResult.Ok) onReply(result.value, sentAt)
-            } finally {
-                busy.remove(outgoing.to)
-            }
+        if (!busy.add(outgoing.to)) return
+        try {
+            threads.execute { exchange(outgoing, onReply) }
+        } catch (e: RejectedExecutionException) {
+            busy.remove(outgoing.to)
+            log.warn("a lease request to {} was not sent: {}", outgoing.to, e.message)
+        }
+    }
+
+    private fun exchange(outgoing: OutgoingLease, onReply: (LeaseReply, Long) -> Unit) {
+        try {
+            val sentAt = clock.nanos()
+            val result = post(outgoing)
+            if (result is PeerResult.Ok) onReply(result.value, sentAt)
+        } finally {
+            busy.remove(outgoing.to)
         }
     }
 
@@ -46,6 +55,7 @@
 
     private companion object {
         const val MAX_THREADS = 64
+        val log = LoggerFactory.getLogger(LeaseSender::class.java)
 
         /** Below the renewal interval, so that a lost message does not delay the next one. */
         const val TIMEOUT_MILLIS = 900L
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/lease/MapKeeper.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/lease/MapKeeper.kt
@@ -3,28 +3,40 @@
 import fireflyhinge.lease.RegionView
 import fireflyhinge.store.StoreResult
 import fireflyhinge.store.StoredObject
+import fireflyhinge.time.MonotonicClock
+import fireflyhinge.time.millis
+import org.slf4j.LoggerFactory
 
 /** Reads the shard maps from the store when that is wanted, and writes the book's changes to its region's map. */
 internal class MapKeeper(
     private val store: MapStore,
     private val book: LockedBook,
+    private val clock: MonotonicClock,
     private val learn: (StoredObject) -> Unit,
 ) {
+    private var readAt: Long? = null
+    private var failedAt: Long? = null
+
     /** Set to read all maps at the next pass. */
     @Volatile
     var refreshWanted = true
 
     /** One pass; runs in the store thread. */
     fun pass(view: RegionView) {
+        if (waits(failedAt)) return
         if (book.use { behind }) refreshWanted = true
-        if (refreshWanted) readMaps()
+        if (refreshWanted && !waits(readAt)) readMaps()
         // Without an answer it is not known whether the map exists, and a first write would only be refused.
         if (!refreshWanted && book.use { now -> wantsWrite(view, now) }) writeMap(view)
     }
 
+    /** Every daemon reads at once when an owner changes or the store is down, so each reads at most once a second. */
+    private fun waits(since: Long?) = since != null && clock.millis() - since < PAUSE_MILLIS
+
     private fun readMaps() {
+        readAt = clock.millis()
         val all = store.list()
-        if (all !is StoreResult.Ok) return
+        if (all !is StoreResult.Ok) return failed()
         refreshWanted = false
         all.value.forEach(learn)
     }
@@ -32,15 +44,25 @@
     private fun writeMap(view: RegionView) {
         // A write of unknown effect bounds the lease. Reading first avoids it while the store is known to be down.
         store.probe()?.let(learn)
-        if (!store.answers) return
+        if (!store.answers) return failed()
         val write = book.use { now -> nextWrite(view, now) } ?: return
         when (val result = store.put(write)) {
             is StoreResult.Ok -> learn(result.value)
-            is StoreResult.Conflict -> result.current?.let(learn) ?: failed(uncertain = false)
-            is StoreResult.Unknown -> failed(uncertain = true)
-            else -> failed(uncertain = false)
+            is StoreResult.Conflict -> result.current?.let(learn) ?: book.use { writeFailed(uncertain = false) }
+            else -> {
+                log.warn("shard map was not written: {}", result)
+                book.use { writeFailed(uncertain = result is StoreResult.Unknown) }
+                failed()
+            }
         }
     }
 
-    private fun failed(uncertain: Boolean) = book.use { writeFailed(uncertain) }
+    private fun failed() {
+        failedAt = clock.millis()
+    }
+
+    private companion object {
+        const val PAUSE_MILLIS = 1000L
+        val log = LoggerFactory.getLogger(MapKeeper::class.java)
+    }
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/lease/RegionViews.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/lease/RegionViews.kt
@@ -1,10 +1,12 @@
 package fireflyhinge.daemon.lease
 
 import fireflyhinge.lease.Candidate
+import fireflyhinge.lease.ProcessId
 import fireflyhinge.lease.RegionView
 import fireflyhinge.lease.process
 import fireflyhinge.membership.MemberState
 import fireflyhinge.membership.Membership
+import java.util.concurrent.ConcurrentHashMap
 
 /** Builds the lease rules' view of the region from the member table. */
 internal object RegionViews {
@@ -17,10 +19,14 @@
                 .filter { it.region == self.region && if (it.id == self.id) !leaving else it.state == MemberState.LIVE }
                 .map { Candidate(process = it.process, failureDomain = it.failureDomain) }
                 .sortedBy { it.process.vm }
+        // The rules ask about the same few processes for every shard.
+        val dead = ConcurrentHashMap<ProcessId, Boolean>()
         return RegionView(
             candidates = candidates,
             draining = leaving,
-            dead = { membership.provenDead(it.vm, it.incarnation) },
+            dead = { process ->
+                dead.computeIfAbsent(process) { membership.provenDead(it.vm, it.incarnation) }
+            },
         )
     }
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/lease/ShardService.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/lease/ShardService.kt
@@ -11,6 +11,7 @@
 import fireflyhinge.store.Store
 import fireflyhinge.store.StoredObject
 import fireflyhinge.time.MonotonicClock
+import org.slf4j.LoggerFactory
 
 /**
  * Ownership of the shards of this daemon's region, kept by pair leases, and copies of all regions' shard maps.
@@ -31,7 +32,7 @@
     private val maps = ShardMaps()
     private val sender = LeaseSender(transport, clock)
     private val mapStore = MapStore(store, self.region)
-    private val keeper = MapKeeper(store = mapStore, book = book, learn = ::learn)
+    private val keeper = MapKeeper(store = mapStore, book = book, clock = clock, learn = ::learn)
     private val loop = LeaseLoop(pass = ::pass)
 
     @Volatile
@@ -93,14 +94,20 @@
     private fun pass() {
         val view = RegionViews.of(membership, draining)
         // An operator may have fenced this VM: others count it as dead and act.
-        if (view.dead(self.process)) stopped = true
+        if (!stopped && view.dead(self.process)) {
+            log.warn("this process counts as dead, for example because its VM is fenced; it stops acting")
+            stopped = true
+        }
         book.use { now -> beat(view, mapStore.answers, now) }
         if (stopped) return
-        if (loop.renewalDue()) {
-            book.use { requests(view) }.forEach { outgoing ->
-                sender.send(outgoing) { reply, sentAt -> book.use { now -> answered(outgoing, reply, sentAt, now) } }
-            }
+        val all = loop.renewalDue()
+        book.use { now -> requests(view, all, now) }.forEach { outgoing ->
+            sender.send(outgoing) { reply, sentAt -> book.use { now -> answered(outgoing, reply, sentAt, now) } }
         }
         mapStore.run { keeper.pass(view) }
     }
+
+    private companion object {
+        val log = LoggerFactory.getLogger(ShardService::class.java)
+    }
 }
