--- a/core/src/main/kotlin/fireflyhinge/quota/ChargeBook.kt
+++ b/core/src/main/kotlin/fireflyhinge/quota/ChargeBook.kt
@@ -47,7 +47,7 @@
                 else -> null
             }
         if (refusal != null) {
-            charges.settle(request.chargeId)
+            charges.remove(request.chargeId)
             return refusal
         }
         val made = Reservation(tokens = request.tokens, place = bucket.debit(request.tokens), madeAt = now)
--- a/core/src/main/kotlin/fireflyhinge/quota/ReservationTable.kt
+++ b/core/src/main/kotlin/fireflyhinge/quota/ReservationTable.kt
@@ -28,6 +28,11 @@
         }
     }
 
+    /** Forgets the charge with this [id], which may be charged again. */
+    fun remove(id: String) {
+        open.remove(id)
+    }
+
     /** Removes the charge with this [id] and remembers the id, so that a late copy of the charge is not debited. */
     fun settle(id: String): Reservation? {
         settled.add(id)
--- a/core/src/test/kotlin/fireflyhinge/quota/ChargeBookTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/quota/ChargeBookTest.kt
@@ -66,6 +66,14 @@
         assertEquals(granted(490), book.ask(150.0, "b", at = 0.53))
     }
 
+    /** Guards against a refusal that debits tokens or bars the same charge from a later attempt. */
+    @Test
+    fun aRefusedChargeMayBeRepeated() {
+        val book = book(0.0)
+        assertEquals(RateExceeded(1500), book.ask(150.0, priority = Priority.INTERACTIVE))
+        assertEquals(granted(500), book.ask(150.0, priority = Priority.INTERACTIVE, at = 1.0))
+    }
+
     /** Guards against tokens that lie reserved and unused while the bucket fills up beside them. */
     @Test
     fun aLateRepetitionIsChargedAnew() {
