Renew known tickets with their token count only

Ruled out: one digest for all tickets of a holder (a mismatch would need full lists while any reply is lost). Change: TicketBatch carries the cell, full updates for new or changed tickets, and ticket -> tokens for the others; the owner names those it does not know and they are sent in full at once. The cell of a ticket follows from its decode replica at each renewal, so that a changed configuration does not orphan it. Conclusion: about 45 bytes per open ticket by the form of the message; the system test has to measure the traffic.

--- a/core/src/main/kotlin/fireflyhinge/peer/TicketBatch.kt
+++ b/core/src/main/kotlin/fireflyhinge/peer/TicketBatch.kt
@@ -2,5 +2,17 @@
 
 import fireflyhinge.engine.Holder
 
-/** All open tickets of one holder in one cell, sent once a second, and releases, sent at once. */
-data class TicketBatch(val holder: Holder, val service: String, val region: String, val updates: List<TicketUpdate>)
+/**
+ * All open tickets of one holder in cell [cell] of [service], sent once a second, and releases, sent at once.
+ *
+ * @property updates tickets that the owner may not know or whose state has changed.
+ * @property renewals the other tickets, each with the tokens streamed so far.
+ */
+data class TicketBatch(
+    val holder: Holder,
+    val service: String,
+    val region: String,
+    val cell: Int,
+    val updates: List<TicketUpdate> = emptyList(),
+    val renewals: Map<String, Int> = emptyMap(),
+)
--- a/core/src/main/kotlin/fireflyhinge/schedule/Cell.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/Cell.kt
@@ -72,6 +72,9 @@
         return reports.update(update, now)
     }
 
+    /** Renews a ticket that this owner should know. */
+    fun renew(ticket: String, generatedTokens: Int, now: Long): Renewal = reports.renew(ticket, generatedTokens, now)
+
     /** Takes the load report of [replica], or null if it did not answer. */
     fun report(replica: String, load: EngineLoad?, now: Long) {
         val known = replicas[replica] ?: return
--- a/core/src/main/kotlin/fireflyhinge/schedule/TicketReports.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/TicketReports.kt
@@ -19,6 +19,15 @@
         return true
     }
 
+    /** Renews a known ticket. */
+    fun renew(id: String, generated: Int, now: Long): Renewal {
+        if (book.ended(id) != null) return Renewal.LAPSED
+        val ticket = book[id] ?: return Renewal.UNKNOWN
+        book.renew(ticket, now)
+        generated(ticket, generated, now)
+        return Renewal.RENEWED
+    }
+
     private fun release(update: TicketUpdate, now: Long): Boolean {
         book.end(update.ticket, TicketEnd.RELEASED, now)?.let { replicas.free(it, lapsed = false) }
         return true
@@ -30,8 +39,12 @@
             (replicas[ticket.placed.prefillReplica] as? PrefillReplica)
                 ?.finished(ticket, update.cachedTokens, update.prefillMillis)
         }
+        generated(ticket, update.generatedTokens, now)
+    }
+
+    private fun generated(ticket: Ticket, tokens: Int, now: Long) {
         val decode = replicas[ticket.placed.decodeReplica] as? DecodeReplica
-        ticket.progress(update.generatedTokens, now)?.let { decode?.step?.add(it) }
+        ticket.progress(tokens, now)?.let { decode?.step?.add(it) }
     }
 
     private fun adopt(update: TicketUpdate, now: Long): Ticket {
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/cell/CellRuntime.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/CellRuntime.kt
@@ -5,12 +5,14 @@
 import fireflyhinge.engine.HeldRequest
 import fireflyhinge.peer.PlaceReply
 import fireflyhinge.peer.PlaceRequest
-import fireflyhinge.peer.TicketUpdate
+import fireflyhinge.peer.TicketBatch
+import fireflyhinge.peer.TicketReply
 import fireflyhinge.schedule.Cancellation
 import fireflyhinge.schedule.Cell
 import fireflyhinge.schedule.CellKey
 import fireflyhinge.schedule.SchedulerSettings
 import fireflyhinge.schedule.ticketId
+import fireflyhinge.schedule.update
 import fireflyhinge.time.MonotonicClock
 import fireflyhinge.time.millis
 import java.util.concurrent.CompletableFuture
@@ -44,15 +46,11 @@
         return future
     }
 
-    /** Applies reports of tickets and returns the expired ones. */
-    fun update(updates: List<TicketUpdate>): Set<String> {
-        val lapsed =
-            lock.withLock {
-                val now = clock.millis()
-                updates.filterNot { cell.update(it, now) }.mapTo(HashSet()) { it.ticket }
-            }
-        if (updates.any { it.released }) pump()
-        return lapsed
+    /** Applies a holder's reports. */
+    fun update(batch: TicketBatch): TicketReply {
+        val reply = lock.withLock { cell.update(batch, clock.millis()) }
+        if (batch.updates.any { it.released }) pump()
+        return reply
     }
 
     /** Makes the decisions that are due and answers the askers. */
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/cell/CellService.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/CellService.kt
@@ -62,22 +62,8 @@
 
     /** Applies a holder's reports. */
     internal fun tickets(batch: TicketBatch): TicketReply {
-        val plan = plans.plan(batch.service, region)
-        val byCell =
-            batch.updates.groupBy {
-                if (it.decodeReplica.isEmpty()) {
-                    plan.cellOfRequest(it.request.requestId)
-                } else {
-                    plan.cellOfReplica(it.decodeReplica)
-                }
-            }
-        val runtimes = byCell.mapValues { (cell, _) -> cells.acting(cell) }
-        val missing = runtimes.entries.firstOrNull { it.value == null }?.key
-        if (missing != null) return TicketReply(acting = false, owner = notOwner(missing).owner)
-        return TicketReply(
-            acting = true,
-            lapsed = byCell.flatMapTo(HashSet()) { (cell, updates) -> runtimes[cell]?.update(updates).orEmpty() },
-        )
+        val cell = CellKey(service = batch.service, number = batch.cell)
+        return cells.acting(cell)?.update(batch) ?: TicketReply(acting = false, owner = notOwner(cell).owner)
     }
 
     private fun place(request: PlaceRequest): PlaceReply =
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/cell/HeldTicket.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/HeldTicket.kt
@@ -6,11 +6,12 @@
 import fireflyhinge.schedule.ticketId
 
 /**
- * A ticket as its holder sees it, or the withdrawal of a request that may have got one. Times are the holder's
- * monotonic milliseconds; [acknowledgedAt] is the send time of the last message that the owner answered. Thread-safe.
+ * A ticket in [region] as its holder sees it, or the withdrawal of a request that may have got one. Times are the
+ * holder's monotonic milliseconds; [acknowledgedAt] is the send time of the last message that the owner answered.
+ * Thread-safe.
  */
 internal class HeldTicket(
-    val address: CellAddress,
+    val region: String,
     val request: PlaceRequest,
     private val placed: PlaceReply.Placed?,
     private var acknowledgedAt: Long,
@@ -19,6 +20,9 @@
 
     private val placedAt = acknowledgedAt
     private var lost = false
+
+    /** State that the owner has acknowledged or knows from the placement; null if it may not know the ticket. */
+    private var known: TicketUpdate? = null
     private var update =
         TicketUpdate(
             ticket = id,
@@ -29,6 +33,24 @@
             released = placed == null,
         )
 
+    init {
+        known = update
+    }
+
+    /** Decode replica, or null for a withdrawal. */
+    val replica: String? get() = placed?.decodeReplica
+
+    /** Whether the owner knows everything but the token count of [report]. */
+    @Synchronized
+    fun isBrief(report: TicketUpdate): Boolean =
+        !report.released && report.copy(generatedTokens = 0) == known?.copy(generatedTokens = 0)
+
+    /** Records that the owner does not know the ticket. */
+    @Synchronized
+    fun unknown() {
+        known = null
+    }
+
     /** What to report to the owner. */
     @Synchronized
     fun report(): TicketUpdate = update
@@ -53,10 +75,18 @@
         acknowledgedAt = now
     }
 
-    /** Records the owner's answer to a renewal sent at [sentAt]. An answer that comes too late renews nothing. */
+    /** Records the owner's answer to [report], sent at [sentAt]. An answer that comes too late renews nothing. */
+    @Synchronized
+    fun acknowledged(report: TicketUpdate, sentAt: Long, now: Long) {
+        if (!isValid(now)) return
+        known = report
+        acknowledgedAt = maxOf(acknowledgedAt, sentAt)
+    }
+
+    /** Records that the owner has expired the ticket. */
     @Synchronized
-    fun acknowledged(sentAt: Long, now: Long, lapsed: Boolean) {
-        if (lapsed || !isValid(now)) lost = true else acknowledgedAt = maxOf(acknowledgedAt, sentAt)
+    fun lapsed() {
+        lost = true
     }
 
     /** Whether the ticket may be used at [now]. */
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/cell/PeerPlacementClient.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/PeerPlacementClient.kt
@@ -23,7 +23,7 @@
     private val plans = CellPlans(config)
     private val workers = Executors.newCachedThreadPool(DaemonThreads("placement"))
     private val timer = Executors.newSingleThreadScheduledExecutor(DaemonThreads("ticket-renewal"))
-    private val keeper = TicketKeeper(router, clock, workers)
+    private val keeper = TicketKeeper(router, plans, clock, workers)
     private val crossRegion =
         Counter.builder()
             .name("fireflyhinge_cross_region_placements_total")
@@ -68,9 +68,9 @@
     }
 
     private fun hold(placement: HeldPlacement): PlaceReply.Placed {
-        val address = placement.ticket.address
-        keeper.add(placement.ticket)
-        if (address.region != router.region) crossRegion.labelValues(address.cell.service, address.region).inc()
+        val ticket = placement.ticket
+        keeper.add(ticket)
+        if (ticket.region != router.region) crossRegion.labelValues(ticket.request.service, ticket.region).inc()
         return placement.placed
     }
 
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/cell/PlacementAttempt.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/PlacementAttempt.kt
@@ -90,7 +90,7 @@
     }
 
     private fun hold(address: CellAddress, placed: PlaceReply.Placed, sentAt: Long) =
-        HeldPlacement(HeldTicket(address, request, placed, acknowledgedAt = sentAt), placed)
+        HeldPlacement(HeldTicket(address.region, request, placed, acknowledgedAt = sentAt), placed)
 
     private fun withdrawn(address: CellAddress): Outcome.Failure {
         withdraw(address)
@@ -98,7 +98,7 @@
     }
 
     private fun withdraw(address: CellAddress) =
-        keeper.release(HeldTicket(address, request, placed = null, acknowledgedAt = clock.millis()))
+        keeper.release(HeldTicket(address.region, request, placed = null, acknowledgedAt = clock.millis()))
 
     private fun refused(): Outcome.Failure {
         val reply = refusal
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/cell/TicketKeeper.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/TicketKeeper.kt
@@ -10,6 +10,7 @@
 /** Renews this daemon's tickets, one message a cell a second, and sends releases until they are acknowledged. */
 internal class TicketKeeper(
     private val router: OwnerRouter,
+    private val plans: CellPlans,
     private val clock: MonotonicClock,
     private val workers: ExecutorService,
 ) {
@@ -31,7 +32,7 @@
         tickets.remove(ticket.id, ticket)
         ticket.release(clock.millis())
         releases += ticket
-        workers.execute { send(ticket.address, listOf(ticket)) }
+        workers.execute { send(addressOf(ticket), listOf(ticket)) }
     }
 
     /** Sends one renewal for each cell. */
@@ -39,50 +40,63 @@
         val now = clock.millis()
         releases.removeIf { it.isOver(now) }
         val open = tickets.values.filter { it.isValid(now) } + releases
-        open.groupBy { it.address }.forEach { (address, batch) ->
-            if (sending.add(address)) {
-                workers.execute {
-                    try {
-                        send(address, batch)
-                    } finally {
-                        sending -= address
-                    }
+        open.groupBy(::addressOf).filterKeys(sending::add).forEach { (address, batch) ->
+            workers.execute {
+                try {
+                    send(address, batch)
+                } finally {
+                    sending -= address
                 }
             }
         }
     }
 
+    /** Replicas may change cells when the configuration changes, so the cell follows from the replica each time. */
+    private fun addressOf(ticket: HeldTicket): CellAddress {
+        val plan = plans.plan(ticket.request.service, ticket.region)
+        val cell = ticket.replica?.let(plan::cellOfReplica) ?: plan.cellOfRequest(ticket.request.requestId)
+        return CellAddress(region = ticket.region, cell = cell)
+    }
+
     private fun send(address: CellAddress, batch: List<HeldTicket>) {
         val counter = failures.computeIfAbsent(address) { AtomicInteger() }
+        var left = batch
         repeat(TRIES) {
-            if (sendOnce(address, batch, counter.get())) return
-            counter.incrementAndGet()
+            val unknown = sendOnce(address, left, counter.get())
+            if (unknown == null) counter.incrementAndGet() else left = unknown
+            if (left.isEmpty()) return
         }
     }
 
-    private fun sendOnce(address: CellAddress, batch: List<HeldTicket>, failures: Int): Boolean {
+    /** Returns the tickets to send again in full, or null if no owner answered. */
+    private fun sendOnce(address: CellAddress, batch: List<HeldTicket>, failures: Int): List<HeldTicket>? {
         val sentAt = clock.millis()
+        val reports = batch.associateWith { it.report() }
+        val (brief, full) = reports.entries.partition { it.key.isBrief(it.value) }
         val message =
             TicketBatch(
                 holder = batch.first().request.holder,
                 service = address.cell.service,
                 region = address.region,
-                updates = batch.map { it.report() },
+                cell = address.cell.number,
+                updates = full.map { it.value },
+                renewals = brief.associate { it.key.id to it.value.generatedTokens },
             )
-        val reply = router.tickets(address, message, failures)?.takeIf { it.acting } ?: return false
+        val reply = router.tickets(address, message, failures)?.takeIf { it.acting } ?: return null
         val now = clock.millis()
-        batch.zip(message.updates).forEach { (ticket, update) ->
-            if (update.released) {
-                releases -= ticket
-            } else {
-                ticket.acknowledged(sentAt = sentAt, now = now, lapsed = ticket.id in reply.lapsed)
+        reports.forEach { (ticket, report) ->
+            when {
+                report.released -> releases -= ticket
+                ticket.id in reply.lapsed -> ticket.lapsed()
+                ticket.id in reply.unknown -> ticket.unknown()
+                else -> ticket.acknowledged(report, sentAt = sentAt, now = now)
             }
         }
-        return true
+        return batch.filter { it.id in reply.unknown }
     }
 
     private companion object {
-        /** The owner, and its successor in case it has taken over. */
-        const val TRIES = 2
+        /** The owner, its successor in case it has taken over, and a repetition in full. */
+        const val TRIES = 3
     }
 }
