Serve plain services with claims in the store

Cause: non-idempotent calls must run at most once, also when the store loses replies, daemons die or callers repeat a call through another VM. Ruled out: pooled connections, whose loss leaves it unknown whether a call ran; reading a claim back after a lost reply, because a late write may still arrive, so the same conditional write is repeated and meets itself as a conflict; OkHttp's own handling of 503 with Retry-After: 0, which sends a request again whatever its settings. Change: pure claim rules in core; ledger, repair of unconfirmed states, sender, header rules and the handler in the daemon. Calls with the API key in path, query or body are refused. Conclusion: 20 claim cases with two daemons on one store send each call once.

--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/idempotency/ClaimState.kt
@@ -0,0 +1,13 @@
+package fireflyhinge.idempotency
+
+/** State of a claim. */
+enum class ClaimState {
+    /** The call may have been sent. */
+    CLAIMED,
+
+    /** The call was answered. */
+    DONE,
+
+    /** Nothing was sent, and nothing will be sent under this claim. */
+    NOT_RUN,
+}
--- a/core/src/main/kotlin/fireflyhinge/result/ResultCode.kt
+++ b/core/src/main/kotlin/fireflyhinge/result/ResultCode.kt
@@ -43,6 +43,7 @@
     OUTCOME_UNKNOWN(6001, 409, Run.UNKNOWN, "The call was sent to the upstream and its outcome is unknown."),
     IDEMPOTENCY_KEY_REUSED(6002, 422, Run.NOT_RUN, "The Idempotency-Key was used with another request."),
     CALL_IN_PROGRESS(6003, 409, Run.UNKNOWN, "A call with this Idempotency-Key is still running."),
+    ANSWER_NOT_KEPT(6004, 409, Run.RAN, "The call ran earlier; its answer was too large to keep for a repeat."),
     STORE_UNAVAILABLE(7001, 503, Run.NOT_RUN, "The platform store does not answer; the request needs it."),
     VERSION_CONFLICT(7002, 409, Run.NOT_RUN, "The object was changed by another operator; read it and try again."),
     OBJECT_INVALID(7003, 422, Run.NOT_RUN, "The configuration object is not valid."),
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/CallerApi.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/CallerApi.kt
@@ -4,27 +4,36 @@
 import fireflyhinge.daemon.http.HttpLimits
 import fireflyhinge.daemon.http.requestId
 import fireflyhinge.daemon.http.useNumberedErrors
+import fireflyhinge.daemon.service.ServiceCallReader
+import fireflyhinge.daemon.service.ServiceHandler
+import fireflyhinge.daemon.service.ServicePipeline
 import fireflyhinge.daemon.trace.Tracing
 import io.javalin.config.JavalinConfig
 import io.javalin.http.Context
 import io.javalin.http.Handler
+import io.javalin.http.HandlerType
 import org.slf4j.MDC
 
 /** The API for callers. */
 class CallerApi(
     private val ports: CallerPorts,
-    pipeline: ModelPipeline,
+    models: ModelPipeline,
+    services: ServicePipeline,
     departures: DepartureWatch,
     metrics: CallerMetrics,
     limits: HttpLimits = HttpLimits(),
 ) {
-    private val chat = ChatHandler(ports, pipeline, BodyReader(limits), departures, metrics)
+    private val bodies = BodyReader(limits)
+    private val chat = ChatHandler(ports, models, bodies, departures, metrics)
+    private val service = ServiceHandler(ServiceCallReader(ports, bodies), services, departures, metrics)
 
     /** Adds the routes of this API to an app. */
     fun install(config: JavalinConfig) {
         config.useNumberedErrors()
         config.routes.post("/v1/chat/completions", traced("chat", chat))
         config.routes.get("/v1/models", traced("models", ModelsHandler(ports)))
+        val anyService = traced("service", service)
+        HandlerType.commonHttp().forEach { config.routes.addHttpHandler(it, "/services/<rest>", anyService) }
     }
 
     private fun traced(name: String, handler: Handler) =
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/CallerLink.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/CallerLink.kt
@@ -5,9 +5,16 @@
     /** Whether the caller has closed its connection or its half of it. */
     fun departed(): Boolean
 
-    /**
-     * Runs [block] in the current thread and interrupts it when the caller departs. No interrupt is left pending
-     * afterwards.
-     */
-    fun <T> interruptible(block: () -> T): T
+    /** Runs [block] and, if the caller departs meanwhile, [action] in another thread. Not to be nested. */
+    fun <T> onDeparture(action: () -> Unit, block: () -> T): T
+}
+
+/** Runs [block] in the current thread and interrupts it when the caller departs; leaves no interrupt pending. */
+fun <T> CallerLink.interruptible(block: () -> T): T {
+    val thread = Thread.currentThread()
+    return try {
+        onDeparture(thread::interrupt, block)
+    } finally {
+        Thread.interrupted()
+    }
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ChatHandler.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ChatHandler.kt
@@ -44,6 +44,8 @@
         return bodies.read(ctx).flatMap { body ->
             val identity = if (key == null) Outcome.Success(Unit) else Authorizer.identify(snapshot, key, isolated)
             identity.flatMap { ChatRequestParser.parse(body) }
+        }.flatMap { chat ->
+            withoutKey(chat, key)
         }.flatMap { chat ->
             Authorizer
                 .authorize(snapshot, chat.model, RouteKind.MODEL, key, isolated)
@@ -51,6 +53,13 @@
         }
     }
 
+    /** Engines are upstreams, and no upstream may see a key. */
+    private fun withoutKey(chat: ChatRequest, key: String?): Outcome<ChatRequest> {
+        val at = chat.messages.indexOfFirst { key != null && key in it.content }
+        if (at < 0) return Outcome.Success(chat)
+        return Outcome.Failure(ResultCode.INVALID_PARAMETER, "messages[$at].content: contains the API key.")
+    }
+
     private fun job(requestId: String, access: Pair<Access, Route>, chat: ChatRequest, arrived: Long): ModelJob {
         val digest = PromptDigest.of(access.first.scope, chat.model, chat.messages, ports.tokens)
         return ModelJob(requestId, access.first, access.second, chat, digest, arrived)
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/WatchedCaller.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/WatchedCaller.kt
@@ -6,25 +6,22 @@
 internal class WatchedCaller(private val closed: () -> Boolean) : CallerLink {
     private val lock = Any()
     private var ended = false
-    private var waiting: Thread? = null
+    private var action: (() -> Unit)? = null
 
     @Volatile
     private var gone = false
 
     override fun departed(): Boolean = gone
 
-    override fun <T> interruptible(block: () -> T): T {
+    override fun <T> onDeparture(action: () -> Unit, block: () -> T): T {
         synchronized(lock) {
-            waiting = Thread.currentThread()
-            if (gone) waiting?.interrupt()
+            this.action = action
+            if (gone) action()
         }
         return try {
             block()
         } finally {
-            synchronized(lock) {
-                waiting = null
-                Thread.interrupted()
-            }
+            synchronized(lock) { this.action = null }
         }
     }
 
@@ -38,7 +35,7 @@
             } catch (e: RuntimeException) {
                 log.warn("probe of a caller's connection failed", e)
             }
-            if (gone) waiting?.interrupt()
+            if (gone) action?.invoke()
         }
     }
 
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/http/HttpHost.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/http/HttpHost.kt
@@ -73,7 +73,6 @@
         configure(protocol)
         val connector = Connector(protocol)
         connector.port = address.port
-        connector.allowTrace = true
         connector.maxPostSize = limits.bodyBytes
         // An encoded slash or backslash is data of a service's path and is passed on as it came.
         connector.encodedSolidusHandling = "passthrough"
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/caller/FakeCaller.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/caller/FakeCaller.kt
@@ -7,5 +7,5 @@
 
     override fun departed(): Boolean = gone
 
-    override fun <T> interruptible(block: () -> T): T = block()
+    override fun <T> onDeparture(action: () -> Unit, block: () -> T): T = block()
 }
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/fake/Fixture.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/fake/Fixture.kt
@@ -7,6 +7,11 @@
 import fireflyhinge.daemon.caller.ModelPipeline
 import fireflyhinge.daemon.http.HttpHost
 import fireflyhinge.daemon.http.HttpLimits
+import fireflyhinge.daemon.service.ClaimRepair
+import fireflyhinge.daemon.service.OkHttpServiceClient
+import fireflyhinge.daemon.service.ServiceLimits
+import fireflyhinge.daemon.service.ServicePipeline
+import fireflyhinge.daemon.service.ServicePorts
 import io.javalin.Javalin
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import java.net.InetSocketAddress
@@ -18,21 +23,36 @@
 import java.util.concurrent.Executors
 
 /** A caller API on a free port of the loopback interface over fakes. */
-class Fixture(limits: HttpLimits = HttpLimits(maxThreads = 50)) : AutoCloseable {
+class Fixture(
+    limits: HttpLimits = HttpLimits(maxThreads = 50),
+    val store: FakeStore = FakeStore(),
+    vm: String = "vm-1",
+) : AutoCloseable {
     val engines = FakeEngines()
     val quota = FakeQuota()
     val placement = FakePlacement()
     val config = FakeConfig()
-    val membership = FakeMembership()
+    val membership = FakeMembership(vm)
     private val executor = Executors.newCachedThreadPool()
     private val departures = DepartureWatch()
     private val client = HttpClient.newHttpClient()
     val ports = CallerPorts(config, quota, placement, engines, membership)
-    val pipeline = ModelPipeline(ports, executor = executor)
+    private val timer = Executors.newSingleThreadScheduledExecutor()
+    private val models = ModelPipeline(ports, executor = executor)
+    private val services =
+        ServicePipeline(
+            ServicePorts(
+                caller = ports,
+                store = store,
+                client = OkHttpServiceClient(quick),
+                repair = ClaimRepair(store, timer, firstDelayMillis = 50),
+                limits = quick,
+            ),
+        )
     val host =
         HttpHost(
             Javalin.create { app ->
-                CallerApi(ports, pipeline, departures, CallerMetrics(PrometheusRegistry()), limits).install(app)
+                CallerApi(ports, models, services, departures, CallerMetrics(PrometheusRegistry()), limits).install(app)
             },
             InetSocketAddress("127.0.0.1", 0),
             limits,
@@ -55,9 +75,14 @@
         host.close()
         departures.close()
         executor.shutdownNow()
+        timer.shutdownNow()
     }
 
     companion object {
+        /** Limits short enough for tests that wait for them. */
+        private val quick =
+            ServiceLimits(silenceMillis = 1000, claimWaitMillis = 600, claimPollMillis = 50, claimWriteMillis = 300)
+
         fun chat(stream: Boolean = true, maxTokens: Int = 8) =
             """{"model":"curator-model","stream":$stream,"max_tokens":$maxTokens,
                "messages":[{"role":"user","content":"one two three"}]}"""
