Refuse requests beyond the threads, and answer callers that half-closed

Cause: a request beyond the last thread waited unseen, without a departure probe; a caller that closed only its sending side got an empty answer with status 200. Ruled out: an unbounded thread pool, since memory per VM is bounded.

--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/CallerApi.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/CallerApi.kt
@@ -24,7 +24,7 @@
     limits: HttpLimits = HttpLimits(),
 ) {
     private val bodies = BodyReader(limits)
-    private val chat = ChatHandler(ports, models, bodies, departures, metrics)
+    private val chat = ChatHandler(ModelJobReader(ports, bodies), models, ports.clock, departures, metrics)
     private val service = ServiceHandler(ServiceCallReader(ports, bodies), services, departures, metrics)
 
     /** Adds the routes of this API to an app. */
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ChatHandler.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ChatHandler.kt
@@ -1,70 +1,29 @@
 package fireflyhinge.daemon.caller
 
-import fireflyhinge.auth.Access
-import fireflyhinge.auth.Authorizer
-import fireflyhinge.config.Route
-import fireflyhinge.config.RouteKind
-import fireflyhinge.daemon.http.BodyReader
 import fireflyhinge.daemon.http.fail
-import fireflyhinge.daemon.http.requestId
 import fireflyhinge.result.Outcome
 import fireflyhinge.result.ResultCode
-import fireflyhinge.result.flatMap
-import fireflyhinge.result.map
+import fireflyhinge.time.MonotonicClock
 import fireflyhinge.time.millis
-import fireflyhinge.tokens.PromptDigest
 import io.javalin.http.Context
 import io.javalin.http.Handler
 import org.slf4j.MDC
 
 /** `POST /v1/chat/completions`. */
 internal class ChatHandler(
-    private val ports: CallerPorts,
+    private val reader: ModelJobReader,
     private val pipeline: ModelPipeline,
-    private val bodies: BodyReader,
+    private val clock: MonotonicClock,
     private val departures: DepartureWatch,
     private val metrics: CallerMetrics,
 ) : Handler {
     override fun handle(ctx: Context) {
-        val arrived = ports.clock.millis()
-        when (val checked = check(ctx, arrived)) {
-            is Outcome.Failure -> refuse(ctx, checked)
-            is Outcome.Success -> serve(ctx, checked.value)
+        when (val read = reader.read(ctx, arrivedMillis = clock.millis())) {
+            is Outcome.Failure -> refuse(ctx, read)
+            is Outcome.Success -> serve(ctx, read.value)
         }
     }
 
-    private fun check(ctx: Context, arrived: Long): Outcome<ModelJob> {
-        val key = Authorizer.keyOf(ctx.header("Authorization"))
-        val isolated = ports.membership.isolated()
-        val snapshot = ports.config.current()
-        // Without a key, only open routes can be used; the body need not be read if there is none.
-        if (key == null && snapshot.routes.values.none { it.open && it.kind == RouteKind.MODEL }) {
-            return Outcome.Failure(ResultCode.KEY_ABSENT)
-        }
-        return bodies.read(ctx).flatMap { body ->
-            val identity = if (key == null) Outcome.Success(Unit) else Authorizer.identify(snapshot, key, isolated)
-            identity.flatMap { ChatRequestParser.parse(body) }
-        }.flatMap { chat ->
-            withoutKey(chat, key)
-        }.flatMap { chat ->
-            Authorizer
-                .authorize(snapshot, chat.model, RouteKind.MODEL, key, isolated)
-                .map { job(ctx.requestId(), it, chat, arrived) }
-        }
-    }
-
-    /** Engines are upstreams, and no upstream may see a key. */
-    private fun withoutKey(chat: ChatRequest, key: String?): Outcome<ChatRequest> {
-        val at = chat.messages.indexOfFirst { key != null && key in it.content }
-        if (at < 0) return Outcome.Success(chat)
-        return Outcome.Failure(ResultCode.INVALID_PARAMETER, "messages[$at].content: contains the API key.")
-    }
-
-    private fun job(requestId: String, access: Pair<Access, Route>, chat: ChatRequest, arrived: Long): ModelJob {
-        val digest = PromptDigest.of(access.first.scope, chat.model, chat.messages, ports.tokens)
-        return ModelJob(requestId, access.first, access.second, chat, digest, arrived)
-    }
-
     private fun serve(ctx: Context, job: ModelJob) {
         MDC.put("workspace", job.access.scope)
         val head = AnswerHead(job.requestId, job.chat.model, created = System.currentTimeMillis() / MILLIS_PER_SECOND)
@@ -79,8 +38,8 @@
         count(result, job)
         when (result) {
             is ModelResult.Answered -> answer.end(result)
-            is ModelResult.Failed -> if (answer.started) answer.interrupt(result.failure) else ctx.fail(result.failure)
-            ModelResult.Departed -> Unit
+            is ModelResult.Failed -> interrupt(ctx, answer, result.failure)
+            ModelResult.Departed -> interrupt(ctx, answer, left)
         }
     }
 
@@ -92,14 +51,17 @@
         when (result) {
             is ModelResult.Answered -> ctx.json(head.whole(text.toString(), result))
             is ModelResult.Failed -> ctx.fail(result.failure)
-            ModelResult.Departed -> Unit
+            ModelResult.Departed -> ctx.fail(left)
         }
     }
 
+    private fun interrupt(ctx: Context, answer: StreamedAnswer, failure: Outcome.Failure) =
+        if (answer.started) answer.interrupt(failure) else ctx.fail(failure)
+
     private fun timed(job: ModelJob, sink: AnswerSink): AnswerSink {
         var first = true
         return AnswerSink { token ->
-            if (first) metrics.firstToken(ports.clock.millis() - job.arrivedMillis)
+            if (first) metrics.firstToken(clock.millis() - job.arrivedMillis)
             first = false
             sink.token(token)
         }
@@ -123,6 +85,9 @@
 
     private companion object {
         const val KIND = "model"
+
+        // A caller that closed only its sending side still reads, and must not take an empty answer for a whole one.
+        val left = Outcome.Failure(ResultCode.CALLER_LEFT)
         const val MILLIS_PER_SECOND = 1000L
     }
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/http/ApiErrors.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/http/ApiErrors.kt
@@ -5,6 +5,7 @@
 import io.javalin.config.JavalinConfig
 import io.javalin.http.Context
 import io.javalin.http.HttpResponseException
+import org.apache.catalina.connector.ClientAbortException
 import org.slf4j.LoggerFactory
 
 private val log = LoggerFactory.getLogger("fireflyhinge.daemon.http.ApiErrors")
@@ -14,8 +15,9 @@
 /** Id of the request in [this] context; made at the first call. */
 fun Context.requestId(): String = attribute<String>(REQUEST_ID) ?: newRequestId().also { attribute(REQUEST_ID, it) }
 
-/** Answers with the numbered error of [failure]; must be called before any byte of the answer was sent. */
+/** Answers with the numbered error of [failure], unless a part of another answer was sent. */
 fun Context.fail(failure: Outcome.Failure) {
+    if (res().isCommitted) return
     status(failure.code.httpStatus)
     failure.retryAfterMillis?.let { header("Retry-After", ((it + MILLIS - 1) / MILLIS).toString()) }
     contentType(JSON_TYPE)
@@ -31,6 +33,9 @@
     routes.exception(HttpResponseException::class.java) { e, ctx ->
         ctx.fail(Outcome.Failure(codeOfStatus(e.status)))
     }
+    routes.exception(ClientAbortException::class.java) { e, ctx ->
+        log.debug("caller of request {} left: {}", ctx.requestId(), e.message)
+    }
     routes.exception(Exception::class.java) { e, ctx ->
         log.error("request {} failed with an unexpected exception", ctx.requestId(), e)
         ctx.fail(Outcome.Failure(ResultCode.INTERNAL))
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/http/HttpHost.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/http/HttpHost.kt
@@ -20,7 +20,7 @@
     private val address: InetSocketAddress,
     private val limits: HttpLimits = HttpLimits(),
 ) : AutoCloseable {
-    private val activity = RequestActivity()
+    private val activity = RequestActivity(limits.requests)
     private val endpoint = DrainingEndpoint()
     private val tomcat = Tomcat()
 
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/http/HttpLimits.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/http/HttpLimits.kt
@@ -18,4 +18,11 @@
     val ioMillis: Int = 10_000,
     val bodyMillis: Int = 30_000,
     val idleMillis: Int = 120_000,
-)
+) {
+    /** Requests that are handled at once; a tenth of the threads is kept for refusing the others. */
+    val requests: Int get() = maxThreads - maxOf(1, maxThreads / RESERVE)
+
+    private companion object {
+        const val RESERVE = 10
+    }
+}
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/http/JsonErrorValve.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/http/JsonErrorValve.kt
@@ -10,11 +10,7 @@
     override fun report(request: Request, response: Response, throwable: Throwable?) {
         val empty = response.contentWritten == 0L && !response.isCommitted
         if (response.status < FIRST_ERROR || !empty || !response.setErrorReported()) return
-        val code = codeOf(response.status, throwable)
-        response.status = code.httpStatus
-        response.contentType = JSON_TYPE
-        response.reporter?.write(errorBody(code, requestId = newRequestId()))
-        response.finishResponse()
+        writeError(response, codeOf(response.status, throwable))
     }
 
     private fun codeOf(status: Int, fault: Throwable?): ResultCode =
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/service/ServiceHandler.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/service/ServiceHandler.kt
@@ -4,6 +4,7 @@
 import fireflyhinge.daemon.caller.DepartureWatch
 import fireflyhinge.daemon.http.fail
 import fireflyhinge.result.Outcome
+import fireflyhinge.result.ResultCode
 import io.javalin.http.Context
 import io.javalin.http.Handler
 import org.slf4j.MDC
@@ -26,7 +27,9 @@
         MDC.put("workspace", call.access.scope)
         departures.watching(ctx.req()) { caller ->
             val outcome = pipeline.run(call, caller)
-            if (!caller.departed()) answer(ctx, outcome) else metrics.request(KIND, "GONE")
+            // An answer that is there is sent to a caller that closed only its sending side, too.
+            val gone = outcome is Outcome.Failure && caller.departed()
+            answer(ctx, if (gone) Outcome.Failure(ResultCode.CALLER_LEFT) else outcome)
         }
     }
 
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/caller/CallerConnectionTest.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/caller/CallerConnectionTest.kt
@@ -56,11 +56,25 @@
                 it.send(request())
                 entered.await()
                 leave(it)
+                if (!it.isClosed) assertTrue("FH-1012" in RawHttp.drain(it))
                 assertWithin(500, "settled") { f.quota.settled.size == 1 }
                 assertWithin(500, "released") { f.placement.released.size == 1 }
             }
         }
 
+    /** Guards against requests that wait unseen for a thread when all threads are taken. */
+    @Test
+    fun requestBeyondTheThreadsIsRefused() =
+        Fixture(HttpLimits(maxThreads = 10)).use { f ->
+            val entered = CountDownLatch(9)
+            f.placement.waiting = { waitForDeparture(entered, it) }
+            val waiting = List(9) { f.socket().also { it.send(request()) } }
+            entered.await()
+            val refused = f.socket().use { RawHttp.exchange(it, request()) }
+            assertTrue(refused.startsWith("HTTP/1.1 503") && "FH-4001" in refused, refused)
+            waiting.forEach { it.close() }
+        }
+
     private fun waitForDeparture(entered: CountDownLatch, abandoned: () -> Boolean) {
         entered.countDown()
         while (!abandoned()) Thread.sleep(10)
