--- a/core/src/main/kotlin/fireflyhinge/address/AddressSelector.kt
+++ b/core/src/main/kotlin/fireflyhinge/address/AddressSelector.kt
@@ -19,11 +19,12 @@
         val usable = members.filter { it.state == MemberState.LIVE && !it.isolated && it.callerAddress.isNotEmpty() }
         val region = members.find { it.failureDomain == failureDomain }?.region
         val mean = usable.map { it.openRequests }.average().takeIf { it > 0 } ?: 1.0
+        // Keys are drawn once per VM: a comparator that draws anew on each comparison gives no defined order.
         val ordered =
-            usable.sortedWith(
-                compareBy<Member> { distance(it, failureDomain, region) }
-                    .thenBy { key(it, mean, random) },
-            )
+            usable
+                .map { Triple(it, distance(it, failureDomain, region), key(it, mean, random)) }
+                .sortedWith(compareBy({ it.second }, { it.third }))
+                .map { it.first }
         return AddressAnswer(
             addresses = spread(ordered).map { CallerAddress(it.callerAddress, it.id, it.failureDomain, it.region) },
             ttlSeconds = TTL_SECONDS * (1 + TTL_SPREAD * random.nextDouble(from = -1.0, until = 1.0)),
--- a/core/src/main/kotlin/fireflyhinge/membership/Beat.kt
+++ b/core/src/main/kotlin/fireflyhinge/membership/Beat.kt
@@ -6,11 +6,13 @@
 /**
  * The part of a member that changes while its process runs. It is encoded as an array to keep gossip small.
  *
- * @property state [MemberState.UNRESPONSIVE] states that the sender has no answer from the VM since [heartbeat]; the
- *   other states are those that the VM gave itself.
+ * @property state [MemberState.UNRESPONSIVE] reports that attempts to reach the VM have failed; the other states are
+ *   those that the VM gave itself.
+ * @property ageMillis how long ago the sender had the news that it passes on, or how long ago the attempt failed.
+ *   Without it a heartbeat that spreads slowly would pass for a sign of life.
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-@JsonPropertyOrder("id", "incarnation", "heartbeat", "state", "isolated", "openRequests")
+@JsonPropertyOrder("id", "incarnation", "heartbeat", "state", "isolated", "openRequests", "ageMillis")
 data class Beat(
     val id: String,
     val incarnation: Long,
@@ -18,11 +20,20 @@
     val state: MemberState = MemberState.LIVE,
     val isolated: Boolean = false,
     val openRequests: Int = 0,
+    val ageMillis: Long = 0,
 ) {
     internal fun isNewerThan(member: Member): Boolean =
         incarnation > member.incarnation || (incarnation == member.incarnation && heartbeat > member.heartbeat)
 }
 
-/** The changing part of this member, in the [state] that the sender sees. */
-internal fun Member.beat(state: MemberState = this.state): Beat =
+/** The changing part of the sender's own entry. */
+internal fun Member.beat(): Beat =
     Beat(id, incarnation, heartbeat, state, isolated, openRequests)
+
+/** What the sender knows about another member. */
+internal fun MemberRecord.beat(now: Long): Beat =
+    if (unresponsive(now)) {
+        member.beat().copy(state = MemberState.UNRESPONSIVE, ageMillis = now - (failedAt ?: newsAt))
+    } else {
+        member.beat().copy(ageMillis = now - newsAt)
+    }
--- a/core/src/main/kotlin/fireflyhinge/membership/GossipMessage.kt
+++ b/core/src/main/kotlin/fireflyhinge/membership/GossipMessage.kt
@@ -10,7 +10,6 @@
  * @property beats changing parts of a bounded number of members.
  * @property wanted ids of VMs of which the sender has no whole entry.
  * @property all true asks for the whole entries of all members; sent by a process that has just started.
- * @property memberDigest hash of all ids, incarnations and states at the sender.
  * @property config digest of the sender's configuration.
  */
 data class GossipMessage(
@@ -19,6 +18,5 @@
     val beats: List<Beat> = emptyList(),
     val wanted: List<String> = emptyList(),
     val all: Boolean = false,
-    val memberDigest: Int = 0,
     val config: ConfigDigest = ConfigDigest(),
 )
--- a/core/src/main/kotlin/fireflyhinge/membership/MemberRecord.kt
+++ b/core/src/main/kotlin/fireflyhinge/membership/MemberRecord.kt
@@ -3,30 +3,32 @@
 /**
  * What this daemon knows about another VM. Times are milliseconds of the monotonic clock.
  *
- * @property newsAt when a newer heartbeat or a direct message last arrived.
- * @property directAt when the VM last sent a message or an answer to this daemon, or null.
- * @property failedAt when a message to the VM last failed, or null.
- * @property suspectedAt heartbeat after which another member reported no answer, or null.
+ * @property newsAt when the VM last gave a sign of life, to this daemon or to one that passed it on.
+ * @property failedAt when an attempt to reach it last failed, here or at a daemon that reported it, or null.
+ * @property failures attempts that failed since [newsAt].
  * @property triedAt when this daemon last tried to reach it, or null.
  */
 internal data class MemberRecord(
     val member: Member,
     val newsAt: Long,
-    val directAt: Long? = null,
     val failedAt: Long? = null,
-    val suspectedAt: Long? = null,
+    val failures: Int = 0,
     val triedAt: Long? = null,
 ) {
     /**
-     * Whether the VM counts as unresponsive: no news for the limit, and an own or a reported attempt to reach it has
-     * failed since. Silence alone proves nothing where heartbeats are not spread to everyone.
+     * Whether the VM counts as unresponsive: no news for the limit, and three attempts to reach it have failed since.
+     * Silence alone proves nothing where heartbeats are not spread to everyone, and a few attempts may be lost.
      */
-    fun unresponsive(now: Long): Boolean {
-        if (member.incarnation == 0L) return true
-        val failed = failedAt != null && failedAt >= newsAt
-        val suspected = suspectedAt != null && suspectedAt >= member.heartbeat
-        return now - newsAt >= HEALTH_LIMIT_MILLIS && (failed || suspected)
-    }
+    fun unresponsive(now: Long): Boolean =
+        member.incarnation == 0L || (now - newsAt >= HEALTH_LIMIT_MILLIS && failures >= FAILURES_NEEDED)
+
+    /** With a sign of life at [at]; failures before it no longer count. */
+    fun withNews(at: Long): MemberRecord =
+        copy(newsAt = maxOf(newsAt, at), failures = if (failedAt != null && failedAt < at) 0 else failures)
+
+    /** With [count] further failed attempts, the last one at [at]. */
+    fun withFailure(at: Long, count: Int): MemberRecord =
+        if (at < newsAt) this else copy(failedAt = maxOf(failedAt ?: at, at), failures = failures + count)
 
     fun heardWithin(limit: Long, now: Long): Boolean = member.incarnation != 0L && now - newsAt < limit
 
@@ -35,5 +37,8 @@
     companion object {
         /** Time without news after which a VM that does not answer gets no new requests. */
         const val HEALTH_LIMIT_MILLIS = 3_000L
+
+        /** Failed attempts that make a silent VM unresponsive. */
+        const val FAILURES_NEEDED = 3
     }
 }
--- a/core/src/main/kotlin/fireflyhinge/membership/MemberUpdates.kt
+++ b/core/src/main/kotlin/fireflyhinge/membership/MemberUpdates.kt
@@ -25,13 +25,13 @@
     fun onHeard(id: String, now: Long) {
         evidence.onNotRefused(id)
         records.computeIfPresent(id) { _, held ->
-            held.copy(newsAt = now, directAt = now, failedAt = null, suspectedAt = null, triedAt = now)
+            held.copy(triedAt = now, failedAt = null, failures = 0).withNews(now)
         }
     }
 
     /** A message to [id] failed; [refused] if its host refused the connection. */
     fun onFailed(id: String, refused: Boolean, now: Long) {
-        records.computeIfPresent(id) { _, held -> held.copy(failedAt = now, triedAt = now) }
+        records.computeIfPresent(id) { _, held -> held.withFailure(at = now, count = 1).copy(triedAt = now) }
         if (refused) evidence.onRefused(id, table.knownIncarnation(id), now) else evidence.onNotRefused(id)
     }
 
@@ -53,7 +53,7 @@
         return when {
             table.provenDead(beat.id, beat.incarnation) -> BeatResult.STALE
             held == null || beat.incarnation > held.member.incarnation -> BeatResult.UNKNOWN
-            beat.state == MemberState.UNRESPONSIVE -> suspect(held, beat, now)
+            beat.state == MemberState.UNRESPONSIVE -> reported(held, beat, now)
             !beat.isNewerThan(held.member) -> BeatResult.STALE
             else -> raise(held, beat, now)
         }
@@ -68,11 +68,10 @@
         return BeatResult.CHANGED
     }
 
-    private fun suspect(held: MemberRecord, beat: Beat, now: Long): BeatResult {
-        val current = beat.incarnation == held.member.incarnation && beat.heartbeat >= held.member.heartbeat
-        val recent = held.directAt != null && now - held.directAt < MemberRecord.HEALTH_LIMIT_MILLIS
-        if (!current || recent || (held.suspectedAt ?: -1) >= beat.heartbeat) return BeatResult.STALE
-        records[beat.id] = held.copy(suspectedAt = beat.heartbeat)
+    private fun reported(held: MemberRecord, beat: Beat, now: Long): BeatResult {
+        val at = now - beat.ageMillis
+        if (held.failures >= MemberRecord.FAILURES_NEEDED || at < held.newsAt) return BeatResult.STALE
+        records[beat.id] = held.withFailure(at, count = MemberRecord.FAILURES_NEEDED)
         return BeatResult.CHANGED
     }
 
@@ -86,8 +85,7 @@
                 isolated = beat.isolated,
                 openRequests = beat.openRequests,
             )
-        records[beat.id] = held.copy(member = next, newsAt = now)
-        evidence.onNotRefused(beat.id)
+        records[beat.id] = held.copy(member = next).withNews(now - beat.ageMillis)
         return if (changed) BeatResult.CHANGED else BeatResult.NEWER
     }
 }
--- /dev/null
+++ b/core/src/test/kotlin/fireflyhinge/membership/MemberTableTest.kt
@@ -0,0 +1,178 @@
+package fireflyhinge.membership
+
+import fireflyhinge.store.VmEntry
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class MemberTableTest {
+    private val table = MemberTable(vm("self"))
+    private val updates = MemberUpdates(table)
+
+    /** Guards against a late message that takes back a newer state or incarnation. */
+    @Test
+    fun olderNewsChangesNothing() {
+        updates.merge(vm("b", incarnation = 5, heartbeat = 9), now = 0)
+        val stale =
+            listOf(
+                Beat("b", incarnation = 4, heartbeat = 99, state = MemberState.DRAINING),
+                Beat("b", incarnation = 5, heartbeat = 9, state = MemberState.DRAINING),
+            )
+        stale.forEach { assertEquals(BeatResult.STALE, updates.merge(it, now = 1)) }
+        assertEquals(MemberState.LIVE, table.view("b", now = 1)?.state)
+        assertEquals(BeatResult.UNKNOWN, updates.merge(Beat("b", incarnation = 6, heartbeat = 0), now = 1))
+    }
+
+    /** Guards against a healthy VM that is dropped for silence alone, and against a dead one that is kept. */
+    @Test
+    fun unresponsiveNeedsSilenceAndFailedAttempts() {
+        updates.merge(vm("b", heartbeat = 1), now = 0)
+        assertEquals(MemberState.LIVE, table.view("b", now = 60_000)?.state)
+        updates.onFailed("b", refused = false, now = 1_000)
+        updates.onFailed("b", refused = false, now = 2_000)
+        assertEquals(MemberState.LIVE, table.view("b", now = 60_000)?.state, "a few attempts may be lost")
+        updates.onFailed("b", refused = false, now = 2_500)
+        assertEquals(MemberState.LIVE, table.view("b", now = 2_999)?.state)
+        assertEquals(MemberState.UNRESPONSIVE, table.view("b", now = 3_000)?.state)
+        updates.merge(Beat("b", incarnation = 1, heartbeat = 2), now = 3_500)
+        assertEquals(MemberState.LIVE, table.view("b", now = 3_500)?.state)
+    }
+
+    /** Guards against an old heartbeat that spreads slowly and passes for a sign of life. */
+    @Test
+    fun ageOfNewsCounts() {
+        updates.merge(vm("b", heartbeat = 1), now = 0)
+        repeat(3) { updates.onFailed("b", refused = false, now = 4_000) }
+        updates.merge(Beat("b", incarnation = 1, heartbeat = 2, ageMillis = 5_000), now = 6_000)
+        assertEquals(MemberState.UNRESPONSIVE, table.view("b", now = 6_000)?.state)
+        updates.merge(Beat("b", incarnation = 1, heartbeat = 3, ageMillis = 500), now = 6_000)
+        assertEquals(MemberState.LIVE, table.view("b", now = 6_000)?.state)
+    }
+
+    /** Guards against a report that overrides a later sign of life. */
+    @Test
+    fun reportCountsOnlyIfNothingWasHeardSince() {
+        updates.merge(vm("b", heartbeat = 1), now = 5_000)
+        val report = Beat("b", incarnation = 1, heartbeat = 1, state = SILENT)
+        updates.merge(report.copy(ageMillis = 4_000), now = 8_000)
+        assertEquals(MemberState.LIVE, table.view("b", now = 8_000)?.state)
+        updates.merge(report.copy(ageMillis = 2_000), now = 8_000)
+        assertEquals(SILENT, table.view("b", now = 8_000)?.state)
+    }
+
+    /** Guards against a false report that stays although the VM answers. */
+    @Test
+    fun reportedVmRefutesTheReport() {
+        assertEquals(
+            BeatResult.CHANGED,
+            updates.merge(table.self.copy(heartbeat = 9).beat().copy(state = SILENT), now = 0)
+        )
+        assertTrue(table.self.heartbeat > 9)
+    }
+
+    /** Guards against a takeover from a running VM: a list that lags or is faulty proves nothing. */
+    @Test
+    fun onlyAbsenceFromTwoListsProvesThatASilentVmIsGone() {
+        val full = listOf(entry("self"), entry("b"), entry("c"))
+        updates.merge(vm("new"), now = 0)
+        updates.onList(full, now = 0)
+        updates.onList(emptyList(), now = 10_000)
+        updates.onList(emptyList(), now = 20_000)
+        assertFalse(table.provenDead("b", 0), "a list without this VM itself is faulty")
+        updates.onList(full - entry("b"), now = 30_000)
+        assertFalse(table.provenDead("b", 0), "one list may be a mistake")
+        updates.onList(full - entry("b"), now = 32_000)
+        assertTrue(table.provenDead("b", 0))
+        assertFalse(table.provenDead("new", 0), "a VM that was never listed may be missing because the list lags")
+        updates.onList(full, now = 34_000)
+        assertFalse(table.provenDead("b", 0), "the VM is listed again")
+    }
+
+    /** Guards against a list that proves a VM gone that still sends heartbeats. */
+    @Test
+    fun vmThatIsHeardFromIsNotProvenGone() {
+        updates.merge(vm("b"), now = 0)
+        updates.onList(listOf(entry("self"), entry("b")), now = 0)
+        listOf(10_000L, 12_000L).forEach {
+            updates.onHeard("b", now = it)
+            updates.onList(listOf(entry("self")), now = it)
+        }
+        assertFalse(table.provenDead("b", 0))
+    }
+
+    /** Guards against proof from refusals that are too few, too close together or interrupted by a sign of life. */
+    @Test
+    fun threeRefusalsOverTwoSecondsProveTheEnd() {
+        data class Case(val refusedAt: List<Long>, val otherAt: Long?, val proven: Boolean)
+        val cases =
+            listOf(
+                Case(listOf(0, 1_000), otherAt = null, proven = false),
+                Case(listOf(0, 500, 1_000), otherAt = null, proven = false),
+                Case(listOf(0, 1_000, 2_000), otherAt = null, proven = true),
+                Case(listOf(0, 1_000, 2_000), otherAt = 1_500, proven = false),
+            )
+        cases.forEachIndexed { i, case ->
+            val id = "vm$i"
+            updates.merge(vm(id, incarnation = 4), now = 0)
+            case.refusedAt.forEach { at ->
+                if (case.otherAt in (at - 999)..at) updates.onFailed(id, refused = false, now = at)
+                updates.onFailed(id, refused = true, now = at)
+            }
+            assertEquals(case.proven, table.provenDead(id, 4), "$case")
+            assertFalse(table.provenDead(id, 5), "the proof does not hold for a newer process")
+        }
+    }
+
+    /** Guards against a restarted process that is taken for the old one, and the other way round. */
+    @Test
+    fun newerIncarnationAndFenceProveOnlyOlderProcesses() {
+        updates.merge(vm("b", incarnation = 7), now = 0)
+        assertTrue(table.provenDead("b", 6))
+        assertFalse(table.provenDead("b", 7))
+        updates.onFence("b", incarnation = 7)
+        assertTrue(table.provenDead("b", 7))
+        assertTrue(table.provenDead("b", 0))
+        assertTrue(updates.merge(vm("b", incarnation = 8), now = 1))
+        assertFalse(table.provenDead("b", 0))
+    }
+
+    /** Guards against serving revoked keys on a cut-off VM, and against refusing everything in a store outage. */
+    @Test
+    fun isolatedNeedsBothStoreAndPeersToBeSilent() {
+        data class Case(val heard: Int, val storeSilent: Long, val isolated: Boolean)
+        val cases =
+            listOf(
+                Case(heard = 7, storeSilent = 60_000, isolated = false),
+                Case(heard = 4, storeSilent = 60_000, isolated = false),
+                Case(heard = 3, storeSilent = 60_000, isolated = true),
+                Case(heard = 3, storeSilent = 9_999, isolated = false),
+                Case(heard = 0, storeSilent = 10_000, isolated = true),
+            )
+        val now = 100_000L
+        cases.forEach { case ->
+            val fleet = MemberTable(vm("self"))
+            val news = MemberUpdates(fleet)
+            val rule = IsolationRule(fleet, startedAt = now - case.storeSilent)
+            repeat(7) { news.merge(vm("vm$it"), now = if (it < case.heard) now - 9_000 else 0) }
+            assertEquals(case.isolated, rule.isolated(now), "$case")
+        }
+    }
+
+    private fun vm(id: String, incarnation: Long = 1, heartbeat: Long = 1) =
+        Member(
+            id = id,
+            region = "r",
+            failureDomain = "d",
+            callerAddress = "$id:1",
+            controlAddress = "$id:2",
+            incarnation = incarnation,
+            heartbeat = heartbeat,
+        )
+
+    private fun entry(id: String) = VmEntry(id, "r", "d", "$id:1", "$id:2")
+
+    private companion object {
+        val SILENT = MemberState.UNRESPONSIVE
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/fireflyhinge/membership/SimulatedVm.kt
@@ -0,0 +1,55 @@
+package fireflyhinge.membership
+
+import fireflyhinge.config.ConfigCopy
+import fireflyhinge.config.ConfigExchange
+import fireflyhinge.config.ConfigMessage
+import fireflyhinge.store.ObjectName
+import fireflyhinge.store.StoredObject
+import org.junit.jupiter.api.Assertions.assertTrue
+import kotlin.random.Random
+
+/** One VM of [SimulatedFleet]; checks after each step that nothing it holds went back. */
+class SimulatedVm(val id: String, incarnation: Long, random: Random) {
+    private val self =
+        Member(
+            id = id,
+            region = "r",
+            failureDomain = "d",
+            callerAddress = "$id:1",
+            controlAddress = "$id:2",
+            incarnation = incarnation,
+            heartbeat = 0,
+        )
+    val table = MemberTable(self)
+    val updates = MemberUpdates(table)
+    val exchange = GossipExchange(table, updates, random)
+    var running = true
+    var copy = ConfigCopy.EMPTY
+        private set
+    private val incarnations = mutableMapOf<String, Pair<Long, Long>>()
+
+    fun merge(objects: List<StoredObject>): List<StoredObject> {
+        val before = copy
+        val merged = copy.merge(objects)
+        copy = merged.copy
+        merged.changed.forEach { check(it.name, before) }
+        return merged.changed
+    }
+
+    fun answer(message: ConfigMessage) = merge(message.objects).let { ConfigExchange.answer(copy, message) }
+
+    /** Fails if a member or an object is older than it was at the last check. */
+    fun checkMembers() =
+        table.records.values.map { it.member }.forEach { member ->
+            val now = member.incarnation to member.heartbeat
+            val before = incarnations.put(member.id, now) ?: now
+            val kept = compareValuesBy(now, before, { it.first }, { it.second }) >= 0
+            assertTrue(kept, "$id: ${member.id} went back from $before to $now")
+        }
+
+    private fun check(name: ObjectName, before: ConfigCopy) {
+        val was = before.versions(name)
+        val now = copy.versions(name)
+        assertTrue(now.version >= was.version && now.validVersion >= was.validVersion, "$id: $was became $now")
+    }
+}
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/admin/WorkspaceAdmin.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/admin/WorkspaceAdmin.kt
@@ -67,7 +67,7 @@
         patch.properties().forEach { (field, value) -> merge(merged, field, value) }
         return ObjectInput.validate(target, merged, options)
             .then { (_, text) -> StoredJson.parse(text) }
-            .then { valid -> ObjectInput.finish(target, valid.apply { replace("keyHashes", keys) }) }
+            .then { valid -> ObjectInput.finish(target, valid.apply { keys?.let { replace("keyHashes", it) } }) }
             .then { (value, text) -> checkTemplate(value as Workspace).map { text } }
     }
 
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/config/StoreWatch.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/config/StoreWatch.kt
@@ -6,8 +6,11 @@
 import fireflyhinge.store.StoredObject
 import fireflyhinge.store.WatchBatch
 import org.slf4j.LoggerFactory
+import java.util.concurrent.Callable
 import java.util.concurrent.ExecutionException
 import java.util.concurrent.Executors
+import java.util.concurrent.Future
+import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
 
@@ -72,15 +75,22 @@
 
     /** A connection may go silent without closing, so a call that makes no progress is given up. */
     private fun <T> limited(limitMillis: Long, call: () -> StoreResult<T>): StoreResult<T>? {
-        val pending = calls.submit(call)
+        val pending = submit(call) ?: return null
         return try {
             pending.get(limitMillis, TimeUnit.MILLISECONDS)
         } catch (_: TimeoutException) {
             pending.cancel(true)
             null
         } catch (e: ExecutionException) {
-            log.error("a store call failed", e)
+            if (!calls.isShutdown) log.error("a store call failed", e)
             null
         }
     }
+
+    private fun <T> submit(call: () -> StoreResult<T>): Future<StoreResult<T>>? =
+        try {
+            calls.submit(Callable { call() })
+        } catch (_: RejectedExecutionException) {
+            null
+        }
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/membership/GossipLoop.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/membership/GossipLoop.kt
@@ -40,7 +40,7 @@
                 workers.execute { runExchange(peer) }
             }
         } catch (e: RuntimeException) {
-            log.error("gossip round failed", e)
+            if (!workers.isShutdown) log.error("gossip round failed", e)
         }
     }
 
--- /dev/null
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/config/ConfigServiceTest.kt
@@ -0,0 +1,78 @@
+package fireflyhinge.daemon.config
+
+import fireflyhinge.daemon.MemoryFleet
+import fireflyhinge.membership.MemberState
+import fireflyhinge.store.ObjectName
+import fireflyhinge.store.StoredObject
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.concurrent.ConcurrentLinkedQueue
+
+class ConfigServiceTest {
+    private val template = ObjectName("templates", "t")
+
+    /** Guards against services that are wired wrongly: a write to the store must reach every daemon (P8: 12 s). */
+    @Test
+    fun writeToTheStoreReachesEveryDaemon() =
+        fleet(size = 6) { fleet ->
+            await("joined") { fleet.nodes.all { node -> node.gossip.members().count { it.state == LIVE } == 6 } }
+            val stored = fleet.store.force(template, """{"name":"t"}""")
+            await("held") { fleet.nodes.all { it.config.copy.version(template) == stored.version } }
+        }
+
+    /** Guards against a daemon that cannot start, or starts empty, while the store is down. */
+    @Test
+    fun daemonStartsFromAPeerWhileTheStoreIsDown() =
+        fleet(size = 3, started = false) { fleet ->
+            fleet.store.force(template, """{"name":"t"}""")
+            fleet.nodes.first().start()
+            await("first") { fleet.nodes.first().config.ready() }
+            fleet.store.down = true
+            fleet.nodes.drop(1).forEach { it.start() }
+            await("others") { fleet.nodes.all { it.config.ready() && it.config.copy.version(template) == 1L } }
+        }
+
+    /** Guards against shard maps and fences that do not reach their listeners, or reach them out of order. */
+    @Test
+    fun objectsOfOtherKindsReachListenersInOrder() =
+        fleet(size = 3) { fleet ->
+            val seen = ConcurrentLinkedQueue<Long>()
+            fleet.nodes.last().config.onObject("shards") { seen += it.version }
+            val name = ObjectName("shards", "r")
+            (1L..20L).forEach { fleet.nodes.first().config.offer(listOf(StoredObject(name, it, "{}"))) }
+            await("newest") { seen.lastOrNull() == 20L }
+            assertEquals(seen.toList().sorted(), seen.toList())
+        }
+
+    /** Guards against a fence or a closed port that proves nothing. */
+    @Test
+    fun fencedAndStoppedVmsAreProvenDead() =
+        fleet(size = 4) { fleet ->
+            await("joined") { fleet.nodes.all { node -> node.gossip.members().count { it.state == LIVE } == 4 } }
+            fleet.store.force(ObjectName("fences", "vm3"), """{"name":"vm3","incarnation":5}""")
+            await("fence") { fleet.nodes.take(3).all { it.gossip.provenDead("vm3", incarnation = 1) } }
+            assertTrue(fleet.nodes.last().gossip.isolated(), "a fenced VM must not serve")
+            fleet.nodes[2].close()
+            await("stopped") { fleet.nodes.take(2).all { it.gossip.provenDead("vm2", incarnation = 1) } }
+        }
+
+    private fun fleet(size: Int, started: Boolean = true, run: (MemoryFleet) -> Unit) =
+        MemoryFleet(size).use {
+            if (started) it.start()
+            run(it)
+        }
+
+    private fun await(what: String, reached: () -> Boolean) {
+        val end = System.nanoTime() + LIMIT_NANOS
+        while (!reached()) {
+            assertTrue(System.nanoTime() < end, "not reached in 12 s: $what")
+            Thread.sleep(10)
+        }
+    }
+
+    private companion object {
+        val LIVE = MemberState.LIVE
+        const val LIMIT_NANOS = 12_000_000_000L
+    }
+}
