Connect plain services and the admin API to the daemon

Cause: both parts were merged without being reachable. Change: DaemonParts builds them; the operator token guards the admin routes; draining can be ended again.

--- a/daemon/src/main/kotlin/fireflyhinge/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/Daemon.kt
@@ -1,6 +1,8 @@
 package fireflyhinge.daemon
 
 import fireflyhinge.Json
+import fireflyhinge.daemon.admin.AdminRoutes
+import fireflyhinge.daemon.admin.OperatorAuth
 import fireflyhinge.daemon.caller.CallerApi
 import fireflyhinge.daemon.caller.CallerMetrics
 import fireflyhinge.daemon.http.HttpHost
@@ -47,15 +49,18 @@
     private fun app(routes: (JavalinConfig) -> Unit): Javalin = Javalin.create { routes(it) }
 
     private fun callerRoutes(config: JavalinConfig) {
-        CallerApi(parts.ports, parts.pipeline, parts.departures, CallerMetrics(registry), limits).install(config)
+        val metrics = CallerMetrics(registry)
+        CallerApi(parts.ports, parts.models, parts.services, parts.departures, metrics, limits).install(config)
         val addresses = AddressEndpoint(parts.gossip)
         config.routes.get("/v1/addresses") { ctx ->
             ctx.contentType("application/json").result(Json.encode(addresses.answer(ctx.queryParam("failure_domain"))))
         }
     }
 
-    private fun controlRoutes(config: JavalinConfig) =
+    private fun controlRoutes(config: JavalinConfig) {
         ControlApi(parts.endpoints, settings.peerToken, registry, ::ready).install(config)
+        AdminRoutes(parts.admin, OperatorAuth(listOf(settings.operatorToken))).register(config.routes)
+    }
 
     /** Ready once the configuration is held and this VM acts for every shard that it owns. */
     private fun ready(): Boolean {
@@ -71,8 +76,7 @@
 
     private fun announceDrain() {
         log.info("VM {} is draining", settings.vm)
-        parts.gossip.reports.setDraining(true)
-        parts.shards.drain()
+        parts.setDraining(true)
         callerHost.drain()
     }
 
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/DaemonParts.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/DaemonParts.kt
@@ -1,10 +1,12 @@
 package fireflyhinge.daemon
 
 import fireflyhinge.config.ConfigKinds
+import fireflyhinge.daemon.admin.AdminApi
 import fireflyhinge.daemon.caller.CallerPorts
 import fireflyhinge.daemon.caller.DepartureWatch
 import fireflyhinge.daemon.caller.ModelPipeline
 import fireflyhinge.daemon.cell.CellService
+import fireflyhinge.daemon.cell.DaemonThreads
 import fireflyhinge.daemon.cell.OwnerRouter
 import fireflyhinge.daemon.cell.PeerPlacementClient
 import fireflyhinge.daemon.config.ConfigService
@@ -17,6 +19,10 @@
 import fireflyhinge.daemon.peer.HttpPeerTransport
 import fireflyhinge.daemon.quota.PeerQuotaClient
 import fireflyhinge.daemon.quota.QuotaService
+import fireflyhinge.daemon.service.ClaimRepair
+import fireflyhinge.daemon.service.OkHttpServiceClient
+import fireflyhinge.daemon.service.ServicePipeline
+import fireflyhinge.daemon.service.ServicePorts
 import fireflyhinge.daemon.settings.Settings
 import fireflyhinge.daemon.store.HttpStore
 import fireflyhinge.daemon.trace.Tracing
@@ -26,6 +32,7 @@
 import fireflyhinge.schedule.SchedulerSettings
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import java.util.concurrent.ExecutorService
+import java.util.concurrent.Executors
 
 /**
  * The parts of one daemon, connected but not started.
@@ -53,12 +60,17 @@
     val quotaClient = PeerQuotaClient(shards, gossip, peers, quota, refreshMaps = shards::refresh)
     val placement = PeerPlacementClient(OwnerRouter(cells, shards, gossip, peers), config, registry)
     val ports = CallerPorts(config, quotaClient, placement, engines, gossip)
-    val pipeline = ModelPipeline(ports, executor = executor)
+    val models = ModelPipeline(ports, executor = executor)
     val departures = DepartureWatch()
+    private val repairs = Executors.newSingleThreadScheduledExecutor(DaemonThreads("claim-repair"))
+    val services =
+        ServicePipeline(ServicePorts(ports, store, OkHttpServiceClient(), ClaimRepair(store, repairs)))
+    val admin = AdminApi(store, config, gossip, peers, ::setDraining)
 
     /** Messages that this daemon serves to its peers. */
     val endpoints: List<PeerEndpoint<*>> =
-        listOf(gossip.endpoint) + config.endpoints + shards.endpoints + quota.endpoints + cells.endpoints()
+        listOf(gossip.endpoint, admin.vms.endpoint) +
+            config.endpoints + shards.endpoints + quota.endpoints + cells.endpoints()
 
     init {
         gossip.attach(config)
@@ -66,6 +78,12 @@
         config.onObject(ConfigKinds.FENCES, gossip.reports::onFence)
     }
 
+    /** Begins or ends draining: this VM is left out of address answers and hands its shards over. */
+    fun setDraining(draining: Boolean) {
+        gossip.reports.setDraining(draining)
+        shards.setDraining(draining)
+    }
+
     fun start() {
         gossip.start()
         config.start()
@@ -83,6 +101,7 @@
         quotaClient.close()
         quota.close()
         departures.close()
+        repairs.shutdown()
         config.close()
         gossip.close()
         outbound.close()
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/lease/ShardService.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/lease/ShardService.kt
@@ -62,9 +62,11 @@
     /** Starts the loop thread. */
     fun start() = loop.start()
 
-    /** Begins to hand all shards to their successors; done when [actingShards] is empty. */
-    fun drain() {
-        draining = true
+    /**
+     * Begins or, if [drain] is false, ends handing all shards to their successors; done when [actingShards] is empty.
+     */
+    fun setDraining(drain: Boolean) {
+        draining = drain
     }
 
     /** Stops acting and stops the loop. */
