--- a/core/src/main/kotlin/fireflyhinge/schedule/Cell.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/Cell.kt
@@ -30,7 +30,7 @@
     private val openAt = startedAt + settings.graceMillis
     private val admission = Admission(settings, replicas, queue, rate, openAt)
     private val dispatcher = Dispatcher(settings.policy.create(settings), replicas, queue, book, epoch)
-    private val reports = TicketReports(replicas, book, epoch)
+    private val reports = TicketReports(replicas, book, retries, epoch)
 
     /** Whether requests wait for a placement. */
     val waiting: Boolean get() = !queue.isEmpty
--- a/core/src/main/kotlin/fireflyhinge/schedule/RetryBudgets.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/RetryBudgets.kt
@@ -7,10 +7,12 @@
     private val cell = budget(limit = CELL_LIMIT)
     private val workspaces = HashMap<String, RetryBudget>()
 
+    /** Counts a running request that another owner placed, so that its retry is not refused after a takeover. */
+    fun adopted(request: PlaceRequest) = both(request).forEach { it.request() }
+
     /** Counts [request]; false if it is a retry beyond a budget. */
     fun admit(request: PlaceRequest, now: Long): Boolean {
-        val own = workspaces.getOrPut(request.workspace) { budget(limit = WORKSPACE_LIMIT) }
-        val both = listOf(own, cell)
+        val both = both(request)
         if (request.attempt <= 1) {
             both.forEach { it.request() }
             return true
@@ -20,6 +22,9 @@
         return allowed
     }
 
+    private fun both(request: PlaceRequest) =
+        listOf(workspaces.getOrPut(request.workspace) { budget(limit = WORKSPACE_LIMIT) }, cell)
+
     private fun budget(limit: Double) =
         RetryBudget(ratio = settings.retryRatio, minimum = settings.retryMinimum, limit = limit)
 
--- a/core/src/main/kotlin/fireflyhinge/schedule/TicketReports.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/TicketReports.kt
@@ -7,6 +7,7 @@
 internal class TicketReports(
     private val replicas: CellReplicas,
     private val book: TicketBook,
+    private val retries: RetryBudgets,
     private val epoch: Long,
 ) {
     /** Applies one report. False if the ticket has expired, so that its holder must stop. */
@@ -60,6 +61,7 @@
         val ticket = Ticket(request = update.request, placed = placed, importAt = now)
         if (update.prefillDone) ticket.prefillEnded(now)
         replicas.adopt(ticket)
+        retries.adopted(ticket.request)
         return ticket
     }
 }
--- a/core/src/test/kotlin/fireflyhinge/schedule/CellTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/schedule/CellTest.kt
@@ -145,6 +145,9 @@
         assertNull(retry("r5", OPEN))
         assertEquals("RETRY_BUDGET", retry("r6", OPEN)?.reason)
         assertNull(retry("r7", OPEN + 4_000))
+        val placed = PlaceReply.Placed("", 1, "PREFILL-1", "", "DECODE-1", "")
+        repeat(10) { cell.update(report(request("old$it"), placed.copy(ticket = "old$it/1")), OPEN + 4_000) }
+        assertNull(retry("r8", OPEN + 4_000), "adopted tickets count as requests")
     }
 
     /** Guards against slots that idle during a long prefill, and prefills that end before their slot is free. */
@@ -167,6 +170,23 @@
         assertNull(cell.place(long.copy(requestId = "long2"), now), "the slot is bound")
     }
 
+    /** Guards against baselines that reserve or queue, which would make the comparison meaningless. */
+    @Test
+    fun theBaselinesPlaceAtOnceBeyondTheSlots() {
+        val expected =
+            mapOf(
+                CellPolicy.ROUND_ROBIN to listOf("DECODE-1", "DECODE-2", "DECODE-1", "DECODE-2"),
+                CellPolicy.LEAST_LOAD to List(4) { "DECODE-2" },
+            )
+        expected.forEach { (policy, replicas) ->
+            val cell = openCell(decodes = 2, slots = 1, settings = SchedulerSettings(policy = policy))
+            listOf("DECODE-1" to 5, "DECODE-2" to 3).forEach { (name, running) ->
+                cell.report(name, EngineLoad(incarnation = 1, running, queuedPrefillTokens = 0, slots = 1), OPEN)
+            }
+            assertEquals(replicas, (1..4).map { cell.placed(request("$it"), OPEN).decodeReplica }, "$policy")
+        }
+    }
+
     /** Guards against prompts that are read again although a replica holds their beginning for the workspace. */
     @Test
     fun theReplicaWithTheCachedPrefixIsPreferred() {
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/cell/FakeEngines.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/cell/FakeEngines.kt
@@ -1,20 +1,20 @@
 package fireflyhinge.daemon.cell
 
-import fireflyhinge.engine.DecodeEvent
-import fireflyhinge.engine.DecodeRequest
 import fireflyhinge.engine.EngineClient
 import fireflyhinge.engine.EngineLoad
-import fireflyhinge.engine.EngineOrder
 import fireflyhinge.engine.EngineRequestId
 import fireflyhinge.engine.EngineResult
 import fireflyhinge.engine.HeldRequest
-import fireflyhinge.engine.ImportRequest
-import fireflyhinge.engine.PrefillRequest
-import fireflyhinge.engine.PrefillResult
+import java.lang.reflect.Proxy
 import java.util.concurrent.ConcurrentHashMap
 
+private val unused =
+    Proxy.newProxyInstance(EngineClient::class.java.classLoader, arrayOf(EngineClient::class.java)) { _, method, _ ->
+        error("${method.name} is not used")
+    } as EngineClient
+
 /** Engines that only report: [held] by address. */
-internal class FakeEngines(private val slots: Int) : EngineClient {
+internal class FakeEngines(private val slots: Int) : EngineClient by unused {
     val held = ConcurrentHashMap<String, List<HeldRequest>>()
     val cancelled: MutableSet<EngineRequestId> = ConcurrentHashMap.newKeySet()
 
@@ -28,19 +28,4 @@
         held.computeIfPresent(address) { _, list -> list.filter { it.id != id } }
         return EngineResult.Ok(Unit)
     }
-
-    override fun prefill(address: String, request: PrefillRequest, timeoutMillis: Long): EngineResult<PrefillResult> =
-        error("not used")
-
-    override fun importKv(address: String, request: ImportRequest, timeoutMillis: Long): EngineResult<Unit> =
-        error("not used")
-
-    override fun decode(
-        address: String,
-        request: DecodeRequest,
-        progressMillis: Long,
-        onEvent: (DecodeEvent) -> Boolean,
-    ): EngineResult<DecodeEvent.End> = error("not used")
-
-    override fun order(address: String, order: EngineOrder): EngineResult<Unit> = error("not used")
 }
