--- a/core/src/test/kotlin/fireflyhinge/schedule/CellTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/schedule/CellTest.kt
@@ -154,6 +154,23 @@
         assertNull(cell.place(long.copy(requestId = "long2"), now), "the slot is bound")
     }
 
+    /** Guards against baselines that reserve or queue, which would make the comparison meaningless. */
+    @Test
+    fun theBaselinesPlaceAtOnceBeyondTheSlots() {
+        val expected =
+            mapOf(
+                CellPolicy.ROUND_ROBIN to listOf("DECODE-1", "DECODE-2", "DECODE-1", "DECODE-2"),
+                CellPolicy.LEAST_LOAD to List(4) { "DECODE-2" },
+            )
+        expected.forEach { (policy, replicas) ->
+            val cell = openCell(decodes = 2, slots = 1, settings = SchedulerSettings(policy = policy))
+            listOf("DECODE-1" to 5, "DECODE-2" to 3).forEach { (name, running) ->
+                cell.report(name, EngineLoad(incarnation = 1, running, queuedPrefillTokens = 0, slots = 1), OPEN)
+            }
+            assertEquals(replicas, (1..4).map { cell.placed(request("$it"), OPEN).decodeReplica }, "$policy")
+        }
+    }
+
     /** Guards against prompts that are read again although a replica holds their beginning for the workspace. */
     @Test
     fun theReplicaWithTheCachedPrefixIsPreferred() {
