Check the key before the body, and tell a lost idempotent call from a late one

Cause: a body of 4 MB was read for an unknown key; an idempotent call whose connection broke was reported as a timeout. Change: order of the checks; SendResult.Lost tells a timeout; stray tokens in the test have a text of their own.

--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelJobReader.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelJobReader.kt
@@ -24,9 +24,12 @@
         if (key == null && snapshot.routes.values.none { it.open && it.kind == RouteKind.MODEL }) {
             return Outcome.Failure(ResultCode.KEY_ABSENT)
         }
-        return bodies.read(ctx).flatMap { body ->
-            val identity = if (key == null) Outcome.Success(Unit) else Authorizer.identify(snapshot, key, isolated)
-            identity.flatMap { ChatRequestParser.parse(body) }
+        // The key is checked before the body is read, so that only known callers can send large bodies.
+        val identity = if (key == null) Outcome.Success(Unit) else Authorizer.identify(snapshot, key, isolated)
+        return identity.flatMap {
+            bodies.read(ctx)
+        }.flatMap { body ->
+            ChatRequestParser.parse(body)
         }.flatMap { chat ->
             withoutKey(chat, key)
         }.flatMap { chat ->
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/service/ClaimedCall.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/service/ClaimedCall.kt
@@ -52,7 +52,7 @@
                 is SendResult.Lost -> null
             }
         if (final != null && !ledger.finish(name, final, version)) repair.later(name, final)
-        return ServiceReply.of(result, lost = ResultCode.OUTCOME_UNKNOWN)
+        return ServiceReply.of(result, once = true)
     }
 
     private fun kept(answer: ServiceAnswer): StoredAnswer {
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/service/OkHttpServiceClient.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/service/OkHttpServiceClient.kt
@@ -13,6 +13,7 @@
 import okhttp3.Response
 import okio.BufferedSink
 import java.io.IOException
+import java.io.InterruptedIOException
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
 
@@ -41,12 +42,18 @@
         val call = client.newCall(build(address, request, mark))
         return try {
             if (caller == null) execute(call) else caller.onDeparture(call::cancel) { execute(call) }
+        } catch (e: InterruptedIOException) {
+            failed(mark, e, timedOut = true)
         } catch (e: IOException) {
-            val reason = e.message ?: e.javaClass.simpleName
-            if (mark.sent) SendResult.Lost(reason) else SendResult.NotSent(reason)
+            failed(mark, e, timedOut = false)
         }
     }
 
+    private fun failed(mark: SentMark, cause: IOException, timedOut: Boolean): SendResult {
+        val reason = cause.message ?: cause.javaClass.simpleName
+        return if (mark.sent) SendResult.Lost(reason, timedOut) else SendResult.NotSent(reason)
+    }
+
     private fun execute(call: Call): SendResult =
         call.execute().use { response ->
             val source = response.body.source()
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/service/ServicePipeline.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/service/ServicePipeline.kt
@@ -69,9 +69,9 @@
             // Checked again, as a charge may take a second in which the key can be withdrawn.
             !call.access.stillGranted(caller.config.current()) ->
                 ServiceReply.refused(Outcome.Failure(ResultCode.KEY_UNKNOWN))
-            call.route.idempotent -> ServiceReply.of(sender.send(call, link), lost = ResultCode.UPSTREAM_TIMEOUT)
+            call.route.idempotent -> ServiceReply.of(sender.send(call, link), once = false)
             key != null -> claimed.run(call, key, link::departed)
-            else -> ServiceReply.of(sender.send(call, repeatable = null), lost = ResultCode.OUTCOME_UNKNOWN)
+            else -> ServiceReply.of(sender.send(call, repeatable = null), once = true)
         }
     }
 }
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/caller/EngineFailureTest.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/caller/EngineFailureTest.kt
@@ -99,13 +99,15 @@
 
     private fun token(id: EngineRequestId, index: Int) = DecodeEvent.Token(id, index, "t$index ")
 
+    private fun stray(id: EngineRequestId) = listOf(DecodeEvent.Token(id, 0, "stray "))
+
     /** Guards against answers that cross or arrive late: each script must lead to the same tokens. */
     @TestFactory
     fun strayEventsAreDropped(): List<DynamicTest> =
         mapOf<String, (EngineRequestId) -> List<DecodeEvent>>(
             "repeat" to { id -> listOf(0, 0, 1, 0, 2, 3).map { token(id, it) } },
-            "other attempt" to { id -> listOf(token(id.copy(attempt = 9), 0)) + (0..3).map { token(id, it) } },
-            "other request" to { id -> listOf(token(id.copy(request = "x"), 0)) + (0..3).map { token(id, it) } },
+            "other attempt" to { id -> stray(id.copy(attempt = 9)) + (0..3).map { token(id, it) } },
+            "other request" to { id -> stray(id.copy(request = "x")) + (0..3).map { token(id, it) } },
             "gap" to { id -> listOf(0, 2, 3).map { token(id, it) } },
             "early end" to { id -> listOf(token(id, 0), DecodeEvent.End(id, "stop", tokens = 4)) },
             "end of other" to { id -> listOf(token(id, 0), DecodeEvent.End(id.copy(attempt = 9), "stop", 1)) },
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/service/ServiceCallTest.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/service/ServiceCallTest.kt
@@ -95,6 +95,17 @@
         assertEquals(listOf(200, 200, 200), answers)
     }
 
+    /** Guards against "not run" for an idempotent call that no replica answered. */
+    @Test
+    fun idempotentCallWithoutAnAnswerIsUnknown() {
+        fixture.config.shopAt(upstream.address)
+        upstream.respond = { null }
+        val lost = fixture.post("/services/browse/x", "").body()
+        assertTrue("FH-5006" in lost && "\"run\":\"unknown\"" in lost, lost)
+        upstream.respond = { "".also { Thread.sleep(1500) } }
+        assertEquals("FH-5005", code(fixture.post("/services/browse/x", "").body()))
+    }
+
     /** Guards against a second run of a call without a key when another replica could be asked. */
     @Test
     fun callWithoutAKeyIsSentOnce() {
