--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/CrashDetector.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/CrashDetector.kt
@@ -1,6 +1,7 @@
 package fireflyhinge.daemon.caller
 
 import fireflyhinge.engine.EngineFailure
+import fireflyhinge.engine.EngineLoad
 import fireflyhinge.engine.EngineResult
 import fireflyhinge.peer.CrashReport
 import fireflyhinge.peer.PlaceReply
@@ -8,6 +9,7 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executor
+import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
 
@@ -24,7 +26,7 @@
 
     private val readings = ConcurrentHashMap<String, Reading>()
 
-    /** Notes the incarnations of the replicas of [placed] before they get the request. Does not block. */
+    /** Notes the incarnations of the replicas of [placed] before they get the request. Neither blocks nor throws. */
     fun watch(placed: PlaceReply.Placed): Watch =
         Watch(listOf(placed.prefillAddress, placed.decodeAddress).associateWith { incarnation(it) })
 
@@ -75,10 +77,14 @@
     }
 
     private fun read(address: String): CompletableFuture<Long?> =
-        CompletableFuture.supplyAsync(
-            { (ports.engines.load(address) as? EngineResult.Ok)?.value?.incarnation },
-            executor,
-        )
+        try {
+            CompletableFuture.supplyAsync({ incarnationOf(ports.engines.load(address)) }, executor)
+        } catch (_: RejectedExecutionException) {
+            CompletableFuture.completedFuture(null)
+        }
+
+    private fun incarnationOf(load: EngineResult<EngineLoad>): Long? =
+        (load as? EngineResult.Ok)?.value?.incarnation
 
     private companion object {
         // One read a second for each replica in use; an older reading could predate a restart that is not this crash.
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelAttempt.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelAttempt.kt
@@ -13,7 +13,7 @@
     private val ports = context.ports
     private val progress = context.progress
     private val placed = context.placed
-    private val holder = ports.membership.self().let { Holder(it.id, it.incarnation) }
+    private val holder by lazy { ports.membership.self().let { Holder(it.id, it.incarnation) } }
 
     // Addresses of engines that may hold something for this attempt.
     private val held = LinkedHashSet<String>()
@@ -57,6 +57,7 @@
     }
 
     private fun prefilled(prefill: PrefillResult): AttemptResult {
+        if (prefill.id != context.id) return failedAtPrefill(EngineFailure.Broken("the result of another attempt"))
         progress.prefilled(prefill)
         ports.placement.progress(placed.ticket, progress.next, prefillDone = true, prefill.cachedTokens)
         return context.blocked() ?: import(prefill)
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/http/HttpHost.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/http/HttpHost.kt
@@ -51,7 +51,11 @@
     /** Sets `Connection: close` on every answer from now on; new connections are still accepted. */
     fun drain() = activity.drain()
 
-    /** Stops accepting at once and waits up to [grace] for open requests and connections. */
+    /**
+     * Stops accepting and waits up to [grace] for open requests and connections. Connections that were opened before
+     * are served. A connection that is opened in the instant in which the kernel closes the port is reset by it unseen,
+     * so callers must have been told other addresses, by [drain] and for the life of an address, before this.
+     */
     fun close(grace: Duration) {
         drain()
         val protocol = tomcat.connector.protocolHandler as AbstractProtocol<*>
@@ -83,6 +87,7 @@
         protocol.address = address.address
         protocol.setMaxThreads(limits.maxThreads)
         protocol.minSpareThreads = minOf(limits.maxThreads, MIN_THREADS)
+        protocol.maxConnections = limits.connections
         protocol.maxHttpRequestHeaderSize = limits.headerBytes
         protocol.connectionTimeout = limits.ioMillis
         protocol.keepAliveTimeout = limits.idleMillis
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/http/HttpLimits.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/http/HttpLimits.kt
@@ -4,6 +4,7 @@
  * Limits of an HTTP listener.
  *
  * @property maxThreads threads that handle requests; one per request in flight.
+ * @property connections open connections; more wait in the kernel's queue.
  * @property headerBytes largest request line and headers.
  * @property bodyBytes largest request body.
  * @property ioMillis longest wait for the next bytes of a request, or for a caller to take bytes of an answer.
@@ -13,6 +14,7 @@
  */
 data class HttpLimits(
     val maxThreads: Int = 400,
+    val connections: Int = 8192,
     val headerBytes: Int = 8192,
     val bodyBytes: Int = 4_000_000,
     val ioMillis: Int = 10_000,
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/service/ClaimRepair.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/service/ClaimRepair.kt
@@ -1,11 +1,13 @@
 package fireflyhinge.daemon.service
 
+import com.fasterxml.jackson.core.JsonProcessingException
 import fireflyhinge.Json
 import fireflyhinge.idempotency.Claim
 import fireflyhinge.idempotency.ClaimState
 import fireflyhinge.store.ObjectName
 import fireflyhinge.store.Store
 import fireflyhinge.store.StoreResult
+import fireflyhinge.store.StoredObject
 import fireflyhinge.store.WriteCondition
 import org.slf4j.LoggerFactory
 import java.util.concurrent.ScheduledExecutorService
@@ -51,16 +53,22 @@
 
     private fun settled(name: ObjectName, final: Claim): Boolean =
         when (val read = store.get(name)) {
-            is StoreResult.Ok -> {
-                val claim = Json.decode<Claim>(read.value.value)
-                val open = claim.attempt == final.attempt && claim.state == ClaimState.CLAIMED
-                !open || write(name, final, WriteCondition.AtVersion(read.value.version))
-            }
+            is StoreResult.Ok ->
+                !isOpen(read.value, final) || write(name, final, WriteCondition.AtVersion(read.value.version))
             // The lost write may still arrive; an object that is there makes its condition fail.
             StoreResult.NotFound -> write(name, final, WriteCondition.Absent)
             else -> false
         }
 
+    private fun isOpen(found: StoredObject, final: Claim): Boolean =
+        try {
+            val claim = Json.decode<Claim>(found.value)
+            claim.attempt == final.attempt && claim.state == ClaimState.CLAIMED
+        } catch (e: JsonProcessingException) {
+            log.warn("claim {} cannot be read", found.name, e)
+            false
+        }
+
     private fun write(name: ObjectName, final: Claim, condition: WriteCondition): Boolean =
         store.put(name, Json.encode(final), condition) is StoreResult.Ok
 
