Let calls under way finish before the test closes the listener

Cause: a caller that checked the life of its address just before the close could still open a connection in the instant that the kernel does not cover. Ruled out: callers that never stop, which the announcement of the close excludes. Change: the test waits 50 ms between the end of the address and the close.

--- a/daemon/src/test/kotlin/fireflyhinge/daemon/http/ShutdownTest.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/http/ShutdownTest.kt
@@ -50,6 +50,8 @@
         // The time for which callers keep an address: they go on with new connections, which must be answered.
         Thread.sleep(100)
         expired.set(true)
+        // Calls that were begun just before are under way.
+        Thread.sleep(50)
         host.close(Duration.ofSeconds(5))
         assertEquals(emptyList<String>(), callers.flatMap { it.get() }.filterNot { it == "200" })
     }
