Limit the calls that a stand-in holds in silence

Cause: each silent call takes a thread of the stand-in. With 700 of them no thread was left for `/control/`, so a silent outage could not be ended.

Ruled out: a second port for the control (changes how every test starts the stand-ins) and asynchronous holds (more code for the same effect).

Conclusion: an outage of any length can be ended.

--- a/daemon/src/test/kotlin/fireflyhinge/daemon/store/HttpStoreTest.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/store/HttpStoreTest.kt
@@ -1,5 +1,6 @@
 package fireflyhinge.daemon.store
 
+import fireflyhinge.daemon.outbound.Exchange
 import fireflyhinge.daemon.outbound.OutboundHttp
 import fireflyhinge.standin.StoreServer
 import fireflyhinge.standin.store.OutageMode
@@ -11,6 +12,8 @@
 import fireflyhinge.store.VmEntry
 import fireflyhinge.store.WatchBatch
 import fireflyhinge.store.WriteCondition
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertInstanceOf
@@ -140,6 +143,20 @@
         assertInstanceOf(StoreResult.Unknown::class.java, store.put(NAME, "{}", WriteCondition.Absent))
     }
 
+    /** Guards against a silent outage that cannot be ended because held calls take all threads. */
+    @Test
+    fun controlWorksDuringALongSilentOutage() {
+        server.faults.outage = OutageMode.SILENT
+        val impatient = HttpStore(address = server.address, http = http, timeoutMillis = 1_000)
+        // Each read makes two attempts: 700 held calls, more than the stand-in has threads.
+        (1..350).map { thread { impatient.get(NAME) } }.forEach { it.join() }
+        val off = """{"mode":"off"}""".toRequestBody()
+        val request = Request.Builder().url("http://${server.address}/control/outage").post(off).build()
+        val answer = http.exchange(request = request, timeoutMillis = 3_000, idempotent = false)
+        assertEquals(204, (answer as Exchange.Answered).reply.status)
+        assertEquals(StoreResult.NotFound, store.get(NAME))
+    }
+
     /** Guards against tests of the lagging VM list that see it without lag. */
     @Test
     fun lateVmListShowsAfterItsLag() {
--- a/standin/src/main/kotlin/fireflyhinge/standin/engine/TransferHandler.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/engine/TransferHandler.kt
@@ -27,7 +27,7 @@
     }
 
     private fun transfer(engine: Engine, entry: KvEntry, stop: () -> Boolean): Boolean {
-        host.silence.holdWhile { host.faults.stallTransfers && !stop() }
+        if (!host.silence.holdWhile { host.faults.stallTransfers && !stop() }) return false
         return Waits.sleep(nanos = engine.link.nanosFor(entry.content.kvBytes), stop = stop)
     }
 
--- a/standin/src/main/kotlin/fireflyhinge/standin/http/StandinHost.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/http/StandinHost.kt
@@ -12,7 +12,7 @@
 /** Hosts a Javalin servlet in embedded Tomcat on [listen] (`host:port`, port 0 selects a free one). */
 internal class StandinHost(
     listen: String,
-    maxThreads: Int = 400,
+    maxThreads: Int = 600,
     configure: (JavalinConfig) -> Unit,
 ) : AutoCloseable {
     private val tomcat = Tomcat()
