--- a/ctl/src/main/kotlin/fireflyhinge/ctl/ChangeCommand.kt
+++ b/ctl/src/main/kotlin/fireflyhinge/ctl/ChangeCommand.kt
@@ -1,5 +1,6 @@
 package fireflyhinge.ctl
 
+import com.fasterxml.jackson.databind.JsonNode
 import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.long
@@ -16,10 +17,10 @@
     protected fun send(
         session: Session,
         request: ChangeRequest,
-        describe: ((com.fasterxml.jackson.databind.JsonNode) -> String)? = null,
+        extra: Map<String, String> = emptyMap(),
+        describe: (JsonNode) -> String = Session::describeChange,
     ) {
         val query = request.query + listOfNotNull(expected?.let { "expected_version" to it.toString() })
-        val full = request.copy(query = query)
-        if (describe == null) session.change(full, wait) else session.change(full, wait, describe)
+        session.change(request.copy(query = query), wait, extra, describe)
     }
 }
--- a/ctl/src/main/kotlin/fireflyhinge/ctl/KeyGrant.kt
+++ b/ctl/src/main/kotlin/fireflyhinge/ctl/KeyGrant.kt
@@ -1,6 +1,5 @@
 package fireflyhinge.ctl
 
-import com.fasterxml.jackson.databind.node.ObjectNode
 import com.github.ajalt.clikt.parameters.arguments.argument
 import fireflyhinge.Json
 
@@ -16,9 +15,8 @@
     override fun run(session: Session) {
         val key = Keys.generate()
         val body = Json.mapper.createObjectNode().put("hash", Keys.hash(key)).toString()
-        send(session, ChangeRequest("POST", "workspaces/$workspace/keys", body)) { answer ->
-            (answer as? ObjectNode)?.put("key", key)
-            "key  $key\nhash ${answer.path("hash").asText()}"
+        send(session, ChangeRequest("POST", "workspaces/$workspace/keys", body), extra = mapOf("key" to key)) {
+            "key  ${it.path("key").asText()}\nhash ${it.path("hash").asText()}"
         }
     }
 }
--- a/ctl/src/main/kotlin/fireflyhinge/ctl/Session.kt
+++ b/ctl/src/main/kotlin/fireflyhinge/ctl/Session.kt
@@ -1,6 +1,7 @@
 package fireflyhinge.ctl
 
 import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.node.ObjectNode
 import java.util.UUID
 
 /**
@@ -21,16 +22,18 @@
     )
 
     /**
-     * Sends one change, prints it and, if [wait] is set, waits until every VM holds it. Arguments go into the query
-     * together with a new change id.
+     * Sends one change under a new change id, prints the answer with the [extra] fields and, if [wait] is set, waits
+     * until every VM holds the change.
      */
     fun change(
         request: ChangeRequest,
         wait: Boolean,
+        extra: Map<String, String> = emptyMap(),
         describe: (JsonNode) -> String = ::describeChange,
     ) {
         val query = request.query + ("change_id" to UUID.randomUUID().toString())
         val answer = client.call(request.method, "admin/v1/${request.path}", query, request.body)
+        (answer as? ObjectNode)?.let { tree -> extra.forEach { (name, value) -> tree.put(name, value) } }
         show(answer, describe)
         val change = if (answer.has("change")) answer.path("change") else answer
         if (wait && change.has("object")) waitFor(change.path("object").asText(), change.path("version").asLong())
@@ -65,10 +68,11 @@
         return CtlFailure(ExitCode.WAIT_TIMED_OUT, "$what is not held after $waitMillis ms by: $behind")
     }
 
-    private companion object {
-        const val POLL_MILLIS = 200L
-        const val NANOS_PER_MILLI = 1_000_000L
+    companion object {
+        private const val POLL_MILLIS = 200L
+        private const val NANOS_PER_MILLI = 1_000_000L
 
+        /** One line on a confirmed change. */
         fun describeChange(answer: JsonNode): String =
             if (answer.has("object")) {
                 "${answer.path("object").asText()} version ${answer.path("version").asLong()}"
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/admin/AdminCall.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/admin/AdminCall.kt
@@ -47,6 +47,7 @@
     }
 
     private fun send(status: Int, body: Any) {
-        ctx.status(status).contentType("application/json").result(Json.encode(body))
+        // Javalin encodes text in the response's character set, which is not UTF-8 by default.
+        ctx.status(status).contentType("application/json").result(Json.mapper.writeValueAsBytes(body))
     }
 }
