--- a/ctl/src/main/kotlin/fireflyhinge/ctl/Fireflyctl.kt
+++ b/ctl/src/main/kotlin/fireflyhinge/ctl/Fireflyctl.kt
@@ -14,8 +14,11 @@
 
 /** The root command. */
 class Fireflyctl : CliktCommand(name = "fireflyctl") {
-    private val servers by option("--server", envvar = "FIREFLYHINGE_SERVER")
-        .multiple()
+    private val servers by option(
+        "--server",
+        envvar = "FIREFLYHINGE_SERVER",
+        help = "Control address (host:port) of a VM; repeatable, tried in order.",
+    ).multiple()
     private val token by option("--token", envvar = "FIREFLYHINGE_OPERATOR_TOKEN", help = "Operator token.").default("")
     private val json by option("--json", help = "Print answers as JSON, one a line.").flag()
     private val waitMillis by option("--wait-ms", help = "Limit of --wait in milliseconds (default 30000).")
@@ -23,22 +26,16 @@
         .restrictTo(min = 0)
         .default(DEFAULT_WAIT_MILLIS)
 
+    /** Clikt breaks lines only at U+0085. */
     override fun help(context: Context): String =
         """
         Changes and shows the configuration of a fireflyhinge fleet through any of its VMs.
 
         Examples:
-
-        ```
-        fireflyctl --server 10.0.0.1:8081 template apply large --set rate=20000 --set burst=200000
-        fireflyctl workspace create shop --template large --set models=curator-model --wait
-        fireflyctl key grant shop --wait
-        fireflyctl upstream drain decode-3 --wait
-        fireflyctl config versions --wait
-        ```
-
-        Exit codes: 0 ok, 1 refused, 2 usage, 3 conflict, 4 unreachable, 5 outcome unknown, 6 wait timed out.
-        """.trimIndent()
+        """.trimIndent() + examples.joinToString("") {
+            "\u0085  $it"
+        } +
+            "\n\nExit codes: 0 ok, 1 refused, 2 usage, 3 conflict, 4 unreachable, 5 outcome unknown, 6 wait timed out."
 
     override fun run() {
         val known = servers.flatMap { it.split(',', ' ') }.filter { it.isNotBlank() }
@@ -49,6 +46,16 @@
 
     private companion object {
         const val DEFAULT_WAIT_MILLIS = 30_000L
+
+        val examples =
+            listOf(
+                "fireflyctl --server 10.0.0.1:8081 status",
+                "fireflyctl template apply large --set rate=20000",
+                "fireflyctl workspace create shop --template large --wait",
+                "fireflyctl key grant shop --wait",
+                "fireflyctl upstream drain decode-3 --wait",
+                "fireflyctl config versions --wait",
+            )
     }
 }
 
--- a/ctl/src/main/kotlin/fireflyhinge/ctl/Main.kt
+++ b/ctl/src/main/kotlin/fireflyhinge/ctl/Main.kt
@@ -6,7 +6,9 @@
 import kotlin.system.exitProcess
 
 /** Entry point of `fireflyctl`. */
-fun main(args: Array<String>) = exitProcess(execute(args.toList()))
+fun main(args: Array<String>) {
+    exitProcess(execute(args.toList()))
+}
 
 /** Runs the command line [args] and returns its exit code; Clikt itself would end usage errors with 1. */
 internal fun execute(args: List<String>): Int {
