--- a/system-test/src/main/kotlin/fireflyhinge/measure/Profile.kt
+++ b/system-test/src/main/kotlin/fireflyhinge/measure/Profile.kt
@@ -41,7 +41,8 @@
             return slots / (meanOutput * stepSeconds)
         }
 
-    private val meanOutput: Double get() = traffic.values.sumOf { it.share * it.meanOutput }
+    /** Mean output tokens of a request. */
+    val meanOutput: Double get() = traffic.values.sumOf { it.share * it.meanOutput }
 
     /** The fleet with rates that add up to the capacity. */
     fun fleet(policy: String): FleetSpec =
--- a/system-test/src/main/kotlin/fireflyhinge/systemtest/Fleet.kt
+++ b/system-test/src/main/kotlin/fireflyhinge/systemtest/Fleet.kt
@@ -34,7 +34,7 @@
     fun start(): Fleet {
         objects.writeAll(upstreams.mapValues { it.value.listening })
         setVms(spec.vms.associate { it.id to false })
-        await("the daemons are not ready") { spec.vms.all { ready(it.id) } }
+        await("the daemons are not ready") { spec.vms.all { http.succeeds(controlAddress(it.id), "/readyz") } }
         return this
     }
 
@@ -67,6 +67,9 @@
     fun control(process: ManagedProcess, path: String, body: Any = emptyMap<String, String>()): JsonNode? =
         http.post(process.listening, "/control/$path", body)
 
+    /** Sets the counts of a stand-in to zero. */
+    fun reset(process: ManagedProcess): JsonNode? = http.delete(process.listening, "/control/counts")
+
     /** Reads from a stand-in or from a daemon's control API. */
     fun read(address: String, path: String): JsonNode? = http.get(address, path, OPERATOR_TOKEN)
 
@@ -81,14 +84,6 @@
 
     override fun close() = (daemons.values + upstreams.values + store).forEach { it.close() }
 
-    private fun ready(vm: String): Boolean =
-        try {
-            http.get(controlAddress(vm), "/readyz")
-            true
-        } catch (_: IOException) {
-            false
-        }
-
     companion object {
         /** Operators' token of the daemons. */
         const val OPERATOR_TOKEN = "operator-secret"
--- a/system-test/src/main/kotlin/fireflyhinge/systemtest/JsonHttp.kt
+++ b/system-test/src/main/kotlin/fireflyhinge/systemtest/JsonHttp.kt
@@ -22,6 +22,19 @@
     fun get(address: String, path: String, token: String? = null): JsonNode? =
         send(Request.Builder().url("http://$address$path"), token)
 
+    /** Whether a get of [path] at [address] succeeds. */
+    fun succeeds(address: String, path: String): Boolean =
+        try {
+            get(address, path)
+            true
+        } catch (_: IOException) {
+            false
+        }
+
+    /** Deletes [path] at [address]. */
+    fun delete(address: String, path: String): JsonNode? =
+        send(Request.Builder().url("http://$address$path").delete(), token = null)
+
     private fun send(builder: Request.Builder, token: String?): JsonNode? {
         token?.let { builder.header("Authorization", "Bearer $it") }
         val request = builder.build()
