--- a/core/src/main/kotlin/fireflyhinge/address/AddressSelector.kt
+++ b/core/src/main/kotlin/fireflyhinge/address/AddressSelector.kt
@@ -13,9 +13,15 @@
     /**
      * Up to three VMs that take new requests: those of the caller's [failureDomain] first, then those of its region,
      * then others. The last place goes to another failure domain where there is one, so that the loss of a whole domain
-     * leaves the caller an address. Within a group the order is random by weight 1 / (1 + open requests / mean).
+     * leaves the caller an address. The answer lives for [ttlSeconds] ± 20 %. Within a
+     * group the order is random by weight 1 / (1 + open requests / mean).
      */
-    fun select(members: List<Member>, failureDomain: String?, random: Random): AddressAnswer {
+    fun select(
+        members: List<Member>,
+        failureDomain: String?,
+        random: Random,
+        ttlSeconds: Double = TTL_SECONDS,
+    ): AddressAnswer {
         val usable = members.filter { it.state == MemberState.LIVE && !it.isolated && it.callerAddress.isNotEmpty() }
         val region = members.find { it.failureDomain == failureDomain }?.region
         val mean = usable.map { it.openRequests }.average().takeIf { it > 0 } ?: 1.0
@@ -27,7 +33,7 @@
                 .map { it.first }
         return AddressAnswer(
             addresses = spread(ordered).map { CallerAddress(it.callerAddress, it.id, it.failureDomain, it.region) },
-            ttlSeconds = TTL_SECONDS * (1 + TTL_SPREAD * random.nextDouble(from = -1.0, until = 1.0)),
+            ttlSeconds = ttlSeconds * (1 + TTL_SPREAD * random.nextDouble(from = -1.0, until = 1.0)),
         )
     }
 
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/Daemon.kt
@@ -10,6 +10,7 @@
 import fireflyhinge.daemon.membership.AddressEndpoint
 import fireflyhinge.daemon.settings.HostPort
 import fireflyhinge.daemon.settings.Settings
+import fireflyhinge.daemon.trace.SpanExport
 import io.javalin.Javalin
 import io.javalin.config.JavalinConfig
 import io.prometheus.metrics.model.registry.PrometheusRegistry
@@ -34,6 +35,7 @@
 
     /** Runs until the process is told to stop (SIGTERM). */
     fun run() {
+        SpanExport.register(settings.traceEndpoint, settings.vm)
         val stopped = CountDownLatch(1)
         Runtime.getRuntime().addShutdownHook(Thread { stop() })
         controlHost.start()
@@ -51,7 +53,7 @@
     private fun callerRoutes(config: JavalinConfig) {
         val metrics = CallerMetrics(registry)
         CallerApi(parts.ports, parts.models, parts.services, parts.departures, metrics, limits).install(config)
-        val addresses = AddressEndpoint(parts.gossip)
+        val addresses = AddressEndpoint(parts.gossip, settings.addressTtlMillis / MILLIS_PER_SECOND)
         config.routes.get("/v1/addresses") { ctx ->
             ctx.contentType("application/json").result(Json.encode(addresses.answer(ctx.queryParam("failure_domain"))))
         }
@@ -80,24 +82,28 @@
         callerHost.drain()
     }
 
+    /**
+     * Stops in an order that cuts no request: callers may use an address for its whole lifetime, so new connections
+     * are served that long; then running requests end; then the listener closes.
+     */
     private fun stop() {
         announceDrain()
-        val started = System.nanoTime()
-        // Callers may use an address answer for its whole lifetime, so new connections are served that long.
-        val grace = Duration.ofMillis(settings.addressTtlMillis * ADDRESS_TTL_FACTOR_PERCENT / PERCENT)
-        while (System.nanoTime() - started < grace.toNanos() && parts.gossip.members().size > 1) {
-            Thread.sleep(POLL_MILLIS)
-        }
-        callerHost.close(Duration.ofMillis(settings.drainLimitMillis))
+        if (parts.gossip.members().size > 1) Thread.sleep(settings.addressTtlMillis * ADDRESS_TTL_PERCENT / PERCENT)
+        val deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.drainLimitMillis)
+        while (System.nanoTime() < deadline && callerHost.inFlight > 0) Thread.sleep(POLL_MILLIS)
+        callerHost.close(CLOSE_GRACE)
         parts.stop()
         controlHost.close(Duration.ofSeconds(1))
         log.info("VM {} stopped", settings.vm)
     }
 
     private companion object {
-        const val ADDRESS_TTL_FACTOR_PERCENT = 120L
+        // Answers live up to 20 % longer than the setting, so that callers do not all ask at once.
+        const val ADDRESS_TTL_PERCENT = 120L
         const val PERCENT = 100L
+        const val MILLIS_PER_SECOND = 1000.0
         const val POLL_MILLIS = 50L
+        val CLOSE_GRACE: Duration = Duration.ofSeconds(15)
     }
 }
 
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/DaemonParts.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/DaemonParts.kt
@@ -28,6 +28,8 @@
 import fireflyhinge.daemon.trace.Tracing
 import fireflyhinge.membership.Member
 import fireflyhinge.peer.PeerEndpoint
+import fireflyhinge.peer.PeerResult
+import fireflyhinge.retry.RetryBudgets
 import fireflyhinge.schedule.CellPolicy
 import fireflyhinge.schedule.SchedulerSettings
 import io.prometheus.metrics.model.registry.PrometheusRegistry
@@ -49,10 +51,11 @@
     private val outbound = OutboundHttp(traceparent = Tracing::traceparent)
     private val engines = HttpEngineClient(outbound)
     private val seeds = settings.seedPeers.map { it.toString() }
-    private val peers = HttpPeerTransport(settings.peerToken, ::controlAddress)
+    private val peers = HttpPeerTransport(settings.peerToken, ::controlAddress, Tracing::traceparent, ::observe)
 
     val store = HttpStore(settings.store.toString(), outbound, watchKinds = ConfigKinds.COPIED.toSet())
-    val gossip = GossipService(GossipSettings(self(settings), seeds), store, peers, openRequests = openRequests)
+    val gossip: GossipService =
+        GossipService(GossipSettings(self(settings), seeds), store, peers, openRequests = openRequests)
     val config = ConfigService(ConfigSettings(seeds), store, peers, gossip)
     val shards = ShardService(gossip, peers, store)
     val quota = QuotaService(shards, gossip, peers, config, regionShards = shards)
@@ -60,11 +63,12 @@
     val quotaClient = PeerQuotaClient(shards, gossip, peers, quota, refreshMaps = shards::refresh)
     val placement = PeerPlacementClient(OwnerRouter(cells, shards, gossip, peers), config, registry)
     val ports = CallerPorts(config, quotaClient, placement, engines, gossip)
-    val models = ModelPipeline(ports, executor = executor)
+    private val budgets = RetryBudgets()
+    val models = ModelPipeline(ports, budgets = budgets, executor = executor)
     val departures = DepartureWatch()
     private val repairs = Executors.newSingleThreadScheduledExecutor(DaemonThreads("claim-repair"))
     val services =
-        ServicePipeline(ServicePorts(ports, store, OkHttpServiceClient(), ClaimRepair(store, repairs)))
+        ServicePipeline(ServicePorts(ports, store, OkHttpServiceClient(), ClaimRepair(store, repairs), budgets))
     val admin = AdminApi(store, config, gossip, peers, ::setDraining)
 
     /** Messages that this daemon serves to its peers. */
@@ -107,6 +111,17 @@
         outbound.close()
     }
 
+    /** Every message between daemons tells whether the peer is alive, not only gossip. */
+    private fun observe(vm: String, result: PeerResult<*>) {
+        when (result) {
+            is PeerResult.Ok -> gossip.reports.onAnswered(vm)
+            is PeerResult.ConnectionRefused -> gossip.reports.onFailed(vm, refused = true)
+            is PeerResult.Unreachable -> gossip.reports.onFailed(vm, refused = false)
+            // A slow answer to one message says nothing about the process.
+            is PeerResult.Failed -> Unit
+        }
+    }
+
     private fun controlAddress(vm: String): String? = gossip.member(vm)?.controlAddress
 
     private fun self(settings: Settings) =
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/engine/DecodeReader.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/engine/DecodeReader.kt
@@ -4,6 +4,7 @@
 import fireflyhinge.Json
 import fireflyhinge.daemon.outbound.HttpReply
 import fireflyhinge.daemon.outbound.SendMark
+import fireflyhinge.daemon.outbound.isRefusedConnection
 import fireflyhinge.daemon.outbound.summary
 import fireflyhinge.engine.DecodeEvent
 import fireflyhinge.engine.EngineFailure
@@ -18,7 +19,8 @@
     val items = LinkedBlockingQueue<StreamItem>()
 
     override fun onFailure(call: Call, e: IOException) {
-        fail(if (mark.sent) EngineFailure.Broken(e.summary()) else EngineFailure.Unreachable(e.summary()))
+        val unreachable = EngineFailure.Unreachable(reason = e.summary(), refused = e.isRefusedConnection())
+        fail(if (mark.sent) EngineFailure.Broken(e.summary()) else unreachable)
     }
 
     override fun onResponse(call: Call, response: Response) {
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/engine/EngineReplies.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/engine/EngineReplies.kt
@@ -20,7 +20,7 @@
     fun <T> resultOf(exchange: Exchange, decode: (String) -> T): EngineResult<T> =
         when (exchange) {
             is Exchange.Answered -> resultOf(reply = exchange.reply, decode = decode)
-            is Exchange.NotSent -> EngineResult.Failed(EngineFailure.Unreachable(exchange.reason))
+            is Exchange.NotSent -> EngineResult.Failed(EngineFailure.Unreachable(exchange.reason, exchange.refused))
             is Exchange.NoAnswer -> EngineResult.Failed(EngineFailure.Broken(exchange.reason))
             is Exchange.Interrupted -> EngineResult.Failed(EngineFailure.Cancelled)
         }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/membership/AddressEndpoint.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/membership/AddressEndpoint.kt
@@ -6,8 +6,12 @@
 import kotlin.random.Random
 
 /** Logic of `GET /v1/addresses`. */
-class AddressEndpoint(private val membership: Membership, private val random: Random = Random.Default) {
+class AddressEndpoint(
+    private val membership: Membership,
+    private val ttlSeconds: Double,
+    private val random: Random = Random.Default,
+) {
     /** Addresses for a caller in [failureDomain]; null if it named none. */
     fun answer(failureDomain: String?): AddressAnswer =
-        AddressSelector.select(membership.members(), failureDomain, random)
+        AddressSelector.select(membership.members(), failureDomain, random, ttlSeconds)
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/Exchange.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/Exchange.kt
@@ -5,8 +5,8 @@
     /** The whole answer arrived. */
     data class Answered(val reply: HttpReply) : Exchange
 
-    /** No byte was sent. */
-    data class NotSent(val reason: String) : Exchange
+    /** No byte was sent; [refused] if the host refused the connection. */
+    data class NotSent(val reason: String, val refused: Boolean = false) : Exchange
 
     /** The request was sent, at least in part, and no whole answer came. */
     data class NoAnswer(val reason: String) : Exchange
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/ReplyCallback.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/ReplyCallback.kt
@@ -12,7 +12,8 @@
     val exchange = CompletableFuture<Exchange>()
 
     override fun onFailure(call: Call, e: IOException) {
-        exchange.complete(if (mark.sent) Exchange.NoAnswer(e.summary()) else Exchange.NotSent(e.summary()))
+        val notSent = Exchange.NotSent(reason = e.summary(), refused = e.isRefusedConnection())
+        exchange.complete(if (mark.sent) Exchange.NoAnswer(e.summary()) else notSent)
     }
 
     override fun onResponse(call: Call, response: Response) {
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/peer/HttpPeerTransport.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/peer/HttpPeerTransport.kt
@@ -21,8 +21,15 @@
  * alone are replaced: an open connection can be silent for good while new ones work.
  *
  * @param addressOf control address (`host:port`) of a VM id, or null if it is not known.
+ * @param traceparent gives the W3C trace context of the calling thread, or null.
+ * @param onResult is told the result of each message to a VM.
  */
-class HttpPeerTransport(private val token: String, private val addressOf: (String) -> String?) : PeerTransport {
+class HttpPeerTransport(
+    private val token: String,
+    private val addressOf: (String) -> String?,
+    private val traceparent: () -> String? = { null },
+    private val onResult: (vm: String, PeerResult<*>) -> Unit = { _, _ -> },
+) : PeerTransport {
     private val base =
         OkHttpClient.Builder()
             .connectTimeout(CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
@@ -36,6 +43,18 @@
         message: Any,
         reply: Class<T>,
         timeoutMillis: Long,
+    ): PeerResult<T> {
+        val result = send(vm, path, message, reply, timeoutMillis)
+        if (':' !in vm) onResult(vm, result)
+        return result
+    }
+
+    private fun <T : Any> send(
+        vm: String,
+        path: String,
+        message: Any,
+        reply: Class<T>,
+        timeoutMillis: Long,
     ): PeerResult<T> {
         val address = if (':' in vm) vm else addressOf(vm)
         if (address == null) return PeerResult.Unreachable("VM $vm is not known")
@@ -44,9 +63,9 @@
                 .url("http://$address$path")
                 .header("Authorization", "Bearer $token")
                 .post(Json.mapper.writeValueAsBytes(message).toRequestBody(JSON))
-                .build()
+        traceparent()?.let { request.header("traceparent", it) }
         val client = clients.computeIfAbsent(address) { newClient() }
-        val call = client.newCall(request)
+        val call = client.newCall(request.build())
         call.timeout().timeout(timeoutMillis, TimeUnit.MILLISECONDS)
         return try {
             call.execute().use { decode(it, reply) }
--- a/system-test/src/main/kotlin/fireflyhinge/systemtest/JsonHttp.kt
+++ b/system-test/src/main/kotlin/fireflyhinge/systemtest/JsonHttp.kt
@@ -13,8 +13,15 @@
     private val client = OkHttpClient.Builder().readTimeout(TIMEOUT_SECONDS, TimeUnit.SECONDS).build()
 
     /** Posts [body] to [path] at [address]; the answer is null if it is not JSON. */
-    fun post(address: String, path: String, body: Any, token: String? = null): JsonNode? {
+    fun post(
+        address: String,
+        path: String,
+        body: Any,
+        token: String? = null,
+        headers: Map<String, String> = emptyMap(),
+    ): JsonNode? {
         val request = Request.Builder().url("http://$address$path").post(Json.encode(body).toRequestBody())
+        headers.forEach { (name, value) -> request.header(name, value) }
         return send(request.header("Content-Type", "application/json"), token)
     }
 
