Store claims under the kind "claims" and keep refused repeats truthful

Cause 1: the claim's kind was "claims/<workspace>". HttpStore sends the kind as one path segment, so the slash was encoded and the store answered 400. Ruled out: an outage left on by a test (a direct PUT to the store succeeded) and quota (the refusal came after the charge, in 11 ms, without a repeat).

Change: a refused charge of a call with a key looks up the claim without waiting; a stored answer or "outcome unknown" takes the place of the refusal. If the store does not answer either, the refusal stays.

--- a/core/src/main/kotlin/fireflyhinge/idempotency/Claim.kt
+++ b/core/src/main/kotlin/fireflyhinge/idempotency/Claim.kt
@@ -22,8 +22,8 @@
 ) {
     /** Names of claims. */
     companion object {
-        /** Name of the claim for [key] on [route]. The workspace is part of the kind, so that keys never meet. */
+        /** Name of the claim for [key] on [route]. The workspace is part of the name, so that keys never meet. */
         fun nameOf(workspace: String, route: String, key: String): ObjectName =
-            ObjectName(kind = "claims/$workspace", name = sha256Hex("$route\u0000$key".toByteArray()))
+            ObjectName(kind = "claims", name = "$workspace/" + sha256Hex("$route\u0000$key".toByteArray()))
     }
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/service/ClaimLedger.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/service/ClaimLedger.kt
@@ -37,6 +37,18 @@
         return result ?: refused(ResultCode.OUTCOME_UNKNOWN)
     }
 
+    /** Result of an earlier attempt at the call [name], without waiting; null if none is known to have sent it. */
+    fun earlier(name: ObjectName, digest: String): ClaimResult? {
+        val read = store.get(name) as? StoreResult.Ok ?: return null
+        val found = decode(read.value) ?: return refused(ResultCode.OUTCOME_UNKNOWN)
+        return when (val step = ClaimRules.decide(found, own = "", digest = digest)) {
+            is ClaimStep.Replay -> ClaimResult.Replay(step.answer)
+            ClaimStep.Mismatch -> refused(ResultCode.IDEMPOTENCY_KEY_REUSED)
+            ClaimStep.Wait -> refused(ResultCode.OUTCOME_UNKNOWN)
+            ClaimStep.Send, ClaimStep.TakeOver -> null
+        }
+    }
+
     /** Sets the claim [name], held in [version], to its final state [claim]; false when that is not confirmed. */
     fun finish(name: ObjectName, claim: Claim, version: Long): Boolean =
         when (val result = writer.write(name, Json.encode(claim), WriteCondition.AtVersion(version))) {
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/service/ClaimedCall.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/service/ClaimedCall.kt
@@ -20,7 +20,7 @@
     /** Runs [call] under its [key], or answers it from the store. */
     fun run(call: ServiceCall, key: String, abandoned: () -> Boolean): ServiceReply {
         val self = membership.self()
-        val name = Claim.nameOf(call.access.scope, call.route.name, key)
+        val name = nameOf(call, key)
         val claim =
             Claim(
                 state = ClaimState.CLAIMED,
@@ -40,6 +40,16 @@
         }
     }
 
+    /** What an earlier attempt under [key] led to, or null if none is known to have sent the call. */
+    fun earlier(call: ServiceCall, key: String): ServiceReply? =
+        when (val result = ledger.earlier(nameOf(call, key), call.digest)) {
+            is ClaimResult.Replay -> replay(result.answer)
+            is ClaimResult.Refused -> ServiceReply.refused(result.failure)
+            is ClaimResult.Own, null -> null
+        }
+
+    private fun nameOf(call: ServiceCall, key: String) = Claim.nameOf(call.access.scope, call.route.name, key)
+
     private fun send(call: ServiceCall, name: ObjectName, claim: Claim, version: Long): ServiceReply {
         val result = sender.send(call, repeatable = null)
         val final =
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/service/ServicePipeline.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/service/ServicePipeline.kt
@@ -34,7 +34,7 @@
     fun run(call: ServiceCall, link: CallerLink): Outcome<ServiceAnswer> {
         val charge =
             when (val charged = charge(call, link)) {
-                is Outcome.Failure -> return charged
+                is Outcome.Failure -> return earlier(call)?.outcome ?: charged
                 is Outcome.Success -> charged.value
             }
         var ran = true
@@ -47,6 +47,10 @@
         }
     }
 
+    // A refusal says "not run", which would be false for a repeat of a call that was sent earlier.
+    private fun earlier(call: ServiceCall): ServiceReply? =
+        call.idempotencyKey?.takeUnless { call.route.idempotent }?.let { claimed.earlier(call, it) }
+
     private fun charge(call: ServiceCall, link: CallerLink): Outcome<Charge?> {
         val workspace = call.access.workspace ?: return Outcome.Success(null)
         val priority = workspace.priority
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/service/ClaimTest.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/service/ClaimTest.kt
@@ -8,6 +8,8 @@
 import fireflyhinge.daemon.fake.TestUpstream
 import fireflyhinge.idempotency.Claim
 import fireflyhinge.idempotency.ClaimState
+import fireflyhinge.result.Outcome
+import fireflyhinge.result.ResultCode
 import fireflyhinge.store.WriteCondition
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -96,6 +98,20 @@
         assertEquals(1, upstream.requests.size)
     }
 
+    /** Guards against a repeat of a call that ran and is told "not run" because the quota refuses its charge. */
+    @Test
+    fun refusedChargeOfARepeatDoesNotDenyTheEarlierRun() {
+        second.quota.refusal = Outcome.Failure(ResultCode.QUOTA_UNAVAILABLE)
+        assertCode(second.order(), "FH-3003", "not_run")
+        first.order()
+        assertEquals(200 to "sold", second.order().let { it.statusCode() to it.body() })
+        val (name, done) = store.objects.entries.single()
+        val open = Json.decode<Claim>(done.value).copy(state = ClaimState.CLAIMED, answer = null)
+        store.put(name, Json.encode(open), WriteCondition.AtVersion(done.version))
+        assertCode(second.order(), "FH-6001", "unknown")
+        assertEquals(1, upstream.requests.size)
+    }
+
     /** Guards against a call that is sent although no claim protects it. */
     @Test
     fun storeOutageRefusesTheCall() {
