--- /dev/null
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/LeavingCaller.kt
@@ -0,0 +1,29 @@
+package fireflyhinge.systemtest
+
+import fireflyhinge.Json
+import java.net.Socket
+
+/** Sends one streamed request and closes its connection when it is told to, without reading the answer. */
+internal class LeavingCaller(address: String, call: ChatCall) {
+    private val socket = Socket(address.substringBefore(':'), address.substringAfter(':').toInt())
+
+    init {
+        val fields = mapOf("model" to call.model, "messages" to call.messages, "max_tokens" to call.maxTokens)
+        val body = Json.encode(fields + ("stream" to true)).toByteArray()
+        val head =
+            listOf(
+                "POST /v1/chat/completions HTTP/1.1",
+                "Host: $address",
+                "Authorization: Bearer ${call.key}",
+                "Content-Type: application/json",
+                "Content-Length: ${body.size}",
+            )
+        socket.getOutputStream().apply {
+            write((head.joinToString("\r\n") + "\r\n\r\n").toByteArray() + body)
+            flush()
+        }
+    }
+
+    /** Closes the connection. */
+    fun leave() = socket.close()
+}
