--- /dev/null
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/PacedLoad.kt
@@ -0,0 +1,63 @@
+package fireflyhinge.systemtest
+
+import fireflyhinge.engine.ChatMessage
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.TimeUnit
+
+/** Sends requests of [workspace] at fixed intervals through [vms] in turn; each request costs [COST] tokens. */
+internal class PacedLoad(
+    private val fleet: Fleet,
+    private val workspace: WorkspaceSpec,
+    private val vms: List<String>,
+    private val perSecond: Double,
+) {
+    /** Outcomes so far. */
+    val outcomes = ConcurrentLinkedQueue<ChatOutcome>()
+
+    private val caller = ChatCaller()
+    private val calls = mutableListOf<CompletableFuture<*>>()
+
+    @Volatile private var running = true
+    private val pacer = inBackground { pace() }
+
+    /** Stops sending and waits for the answers. */
+    fun finish(): List<ChatOutcome> {
+        running = false
+        pacer.join()
+        calls.forEach { it.join() }
+        return outcomes.toList()
+    }
+
+    private fun pace() {
+        val start = System.nanoTime()
+        var number = 0
+        while (running) {
+            val due = start + (number * TimeUnit.SECONDS.toNanos(1) / perSecond).toLong()
+            TimeUnit.NANOSECONDS.sleep(due - System.nanoTime())
+            send(number++)
+        }
+    }
+
+    private fun send(number: Int) {
+        val address = fleet.callerAddress(vms[number % vms.size])
+        calls += inBackground { outcomes += caller.stream(address, call(number)) }
+    }
+
+    private fun call(number: Int): ChatCall {
+        val words = List(PROMPT - 2) { "word" }.joinToString(" ")
+        val messages = listOf(ChatMessage("user", "$words $number tokens=$OUTPUT"))
+        return ChatCall(workspace.name, workspace.key, TestFleets.MODEL, messages, OUTPUT)
+    }
+
+    companion object {
+        /** Tokens of each prompt. */
+        const val PROMPT = 90
+
+        /** Tokens of each answer and the request's limit. */
+        const val OUTPUT = 10
+
+        /** Charge of each request. */
+        const val COST = PROMPT + OUTPUT
+    }
+}
