--- /dev/null
+++ b/system-test/src/main/kotlin/fireflyhinge/slopes/MessageSlopes.kt
@@ -0,0 +1,63 @@
+package fireflyhinge.slopes
+
+import fireflyhinge.Json
+import fireflyhinge.config.ConfigCopy
+import fireflyhinge.config.ConfigMessage
+import fireflyhinge.config.Workspace
+import fireflyhinge.config.WorkspaceParameters
+import fireflyhinge.peer.LeaseReply
+import fireflyhinge.peer.LeaseRequest
+import fireflyhinge.store.ObjectName
+import fireflyhinge.store.StoredObject
+
+/** Sizes of control messages and of the configuration copy, without processes. */
+internal object MessageSlopes {
+    private const val WORD = 64
+    private const val BASE_VERSION = 100_000L
+    private val MEMBERS = listOf(8, 32, 64, 256, 1_500)
+    private val SHARDS = listOf(1, 2, 8, 64)
+    private val WORKSPACES = listOf(100, 400, 830)
+
+    /** Measures everything and passes each line to [print]. */
+    fun run(print: (String) -> Unit) {
+        MEMBERS.forEach { print("gossip ${GossipSlope(it).run()}, load ${Machine.load()}") }
+        SHARDS.forEach { print("lease shards $it: request ${request(it)} B, reply ${reply(it)} B") }
+        print("configuration push of one workspace: ${push()} B")
+        WORKSPACES.forEach { print("configuration copy workspaces $it: ${copyBytes(it)} B of heap") }
+    }
+
+    private fun request(shards: Int): Int =
+        size(LeaseRequest("vm-1", BASE_VERSION, "region-1", epochs(shards), BASE_VERSION, echo = System.nanoTime()))
+
+    private fun reply(shards: Int): Int = size(LeaseReply(epochs(shards).keys, stamp = System.nanoTime()))
+
+    private fun push(): Int = size(ConfigMessage(from = "vm-1", objects = listOf(workspace(1))))
+
+    private fun epochs(shards: Int): Map<Int, Long> = (1..shards).associateWith { it.toLong() }
+
+    private fun size(message: Any): Int = Json.encode(message).toByteArray().size
+
+    /** Live heap of a copy and its snapshot: difference of the heap in use after collections. */
+    private fun copyBytes(workspaces: Int): Long {
+        ConfigCopy.EMPTY.merge(listOf(workspace(0))).copy.snapshot
+        val before = used()
+        val copy = ConfigCopy.EMPTY.merge((1..workspaces).map(::workspace)).copy
+        val held = copy.snapshot
+        val bytes = used() - before
+        check(copy.digest.count == workspaces && held.hashCode() != 0)
+        return bytes
+    }
+
+    private fun used(): Long {
+        repeat(2) { System.gc() }
+        return Runtime.getRuntime().run { totalMemory() - freeMemory() }
+    }
+
+    private fun workspace(number: Int): StoredObject {
+        val parameters =
+            WorkspaceParameters(rate = 1_000.0, burst = 5_000.0, models = (1..9).map { "model-$it" })
+        val hashes = setOf(number, number + BASE_VERSION.toInt()).map { "%0${WORD}x".format(it) }.toSet()
+        val value = Workspace("workspace-$number", "standard", parameters, hashes, changeId = "change-$number")
+        return StoredObject(ObjectName("workspaces", value.name), BASE_VERSION + number, Json.encode(value))
+    }
+}
