Put the template into the copy that bin/slopes measures

Cause: without their template no workspace was in force, and the run stopped. Change: the template is merged and the number in force is checked.

--- a/system-test/src/main/kotlin/fireflyhinge/slopes/MessageSlopes.kt
+++ b/system-test/src/main/kotlin/fireflyhinge/slopes/MessageSlopes.kt
@@ -3,6 +3,7 @@
 import fireflyhinge.Json
 import fireflyhinge.config.ConfigCopy
 import fireflyhinge.config.ConfigMessage
+import fireflyhinge.config.Template
 import fireflyhinge.config.Workspace
 import fireflyhinge.config.WorkspaceParameters
 import fireflyhinge.peer.LeaseReply
@@ -39,12 +40,13 @@
 
     /** Live heap of a copy and its snapshot: difference of the heap in use after collections. */
     private fun copyBytes(workspaces: Int): Long {
-        ConfigCopy.EMPTY.merge(listOf(workspace(0))).copy.snapshot
+        ConfigCopy.EMPTY.merge(listOf(template(), workspace(0))).copy.snapshot
         val before = used()
-        val copy = ConfigCopy.EMPTY.merge((1..workspaces).map(::workspace)).copy
+        val copy = ConfigCopy.EMPTY.merge((1..workspaces).map(::workspace) + template()).copy
         val held = copy.snapshot
         val bytes = used() - before
-        check(copy.digest.count == workspaces && held.hashCode() != 0)
+        check(held.workspaces.size == workspaces) { "${held.workspaces.size} of $workspaces are in force" }
+        check(copy.digest.count == workspaces + 1)
         return bytes
     }
 
@@ -53,6 +55,9 @@
         return Runtime.getRuntime().run { totalMemory() - freeMemory() }
     }
 
+    private fun template() =
+        StoredObject(ObjectName("templates", "standard"), version = 1, value = Json.encode(Template("standard")))
+
     private fun workspace(number: Int): StoredObject {
         val parameters =
             WorkspaceParameters(rate = 1_000.0, burst = 5_000.0, models = (1..9).map { "model-$it" })
