Compare whole caller sessions with golden files

Cause: the tests check single results of a session. A change of the bytes a caller gets, of the order of the calls to quota, placement, engines, store and services, or of the headers that leave the daemon could pass unseen.

Ruled out: one wrapper class for each port (more code for the same lines); records of the loads that the crash detector reads (cached for a second, so their number depends on time); the exact number of equal store calls in a wait (depends on time, so equal neighbours are written once).

Change: GoldenSessionTest sends 14 sessions over a socket to the real HTTP host and pipelines over the fakes. SessionRecorder wraps the ports and notes calls, results and log lines at INFO and above; calls made by the fixture's pools are sorted in a block of their own. Normalizer replaces ids, times and ports in one place. A record or file with the caller's key fails. docs/developers.md gives the command that writes the files anew.

Conclusion: a change of a recorded session now shows as a difference in one text file.

--- a/daemon/src/test/kotlin/fireflyhinge/daemon/fake/Fixture.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/fake/Fixture.kt
@@ -5,6 +5,7 @@
 import fireflyhinge.daemon.caller.CallerPorts
 import fireflyhinge.daemon.caller.DepartureWatch
 import fireflyhinge.daemon.caller.ModelPipeline
+import fireflyhinge.daemon.golden.SessionRecorder
 import fireflyhinge.daemon.http.HttpHost
 import fireflyhinge.daemon.http.HttpLimits
 import fireflyhinge.daemon.service.ClaimRepair
@@ -22,11 +23,12 @@
 import java.net.http.HttpResponse
 import java.util.concurrent.Executors
 
-/** A caller API on a free port of the loopback interface over fakes. */
+/** A caller API on a free port of the loopback interface over fakes, whose calls [recorder] notes. */
 class Fixture(
     limits: HttpLimits = HttpLimits(maxThreads = 50),
     val store: FakeStore = FakeStore(),
     vm: String = "vm-1",
+    recorder: SessionRecorder? = null,
 ) : AutoCloseable {
     val engines = FakeEngines()
     val quota = FakeQuota()
@@ -36,16 +38,18 @@
     private val executor = Executors.newCachedThreadPool()
     private val departures = DepartureWatch()
     private val client = HttpClient.newHttpClient()
-    val ports = CallerPorts(config, quota, placement, engines, membership)
+    val ports =
+        CallerPorts(config, quota, placement, engines, membership).let { recorder?.ports(it) ?: it }
+    private val claims = recorder?.store(store) ?: store
     private val timer = Executors.newSingleThreadScheduledExecutor()
     private val models = ModelPipeline(ports, executor = executor)
     private val services =
         ServicePipeline(
             ServicePorts(
                 caller = ports,
-                store = store,
+                store = claims,
                 client = OkHttpServiceClient(quick),
-                repair = ClaimRepair(store, timer, firstDelayMillis = 50),
+                repair = ClaimRepair(claims, timer, firstDelayMillis = 50),
                 limits = quick,
             ),
         )
