Search longer for an acting owner before a request is refused

Change: the search for an owner has 6 s of its own; the time for which a request may wait for tokens starts after it.

--- a/daemon/src/main/kotlin/fireflyhinge/daemon/cell/PlacementAttempt.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/PlacementAttempt.kt
@@ -21,7 +21,8 @@
     private val clock: MonotonicClock,
     private val executor: Executor,
 ) {
-    private val deadline = clock.millis() + request.maxWaitMillis
+    private val patience = clock.millis() + OWNER_PATIENCE_MILLIS
+    private var deadline = clock.millis() + request.maxWaitMillis
     private var failures = 0
     private var next = 0
     private var queued = false
@@ -61,6 +62,8 @@
     /** No owner answered: it is asked again soon, and another region after some failures. */
     private fun failed(address: CellAddress) {
         failures++
+        // During a takeover a late placement is better than a refusal.
+        deadline = maxOf(deadline, minOf(clock.millis() + request.maxWaitMillis, patience))
         if (failures % FAILURES_PER_REGION == 0 && next + 1 < cells.size) {
             withdraw(address)
             next++
@@ -118,6 +121,9 @@
         /** Longer than the owner holds a question open and the transport's limit. */
         const val ASK_AGAIN_MILLIS = 3_200L
         const val POLL_MILLIS = 100L
+
+        /** Longest search for an owner that acts: a lease that runs out, a store write and the first promise. */
+        const val OWNER_PATIENCE_MILLIS = 6_000L
         const val RETRY_MILLIS = 50L
         const val FAILURES_PER_REGION = 10
 
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/quota/ChargeAttempt.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/quota/ChargeAttempt.kt
@@ -17,7 +17,8 @@
     private val refreshMaps: () -> Unit,
     private val abandoned: () -> Boolean,
 ) {
-    private val deadline = clock.nanos() + TimeUnit.MILLISECONDS.toNanos(request.maxWaitMillis)
+    private val patience = clock.nanos() + millisToNanos(QuotaTimes.OWNER_PATIENCE_MILLIS)
+    private var deadline = clock.nanos() + millisToNanos(request.maxWaitMillis)
     private val reached = LinkedHashSet<String>()
     private var hint: String? = null
     private var detail = ""
@@ -93,6 +94,8 @@
     private fun lost(reason: String): ChargeStep {
         refreshMaps()
         detail = reason
+        // The search for an owner does not use up the time that the request may wait for tokens.
+        deadline = maxOf(deadline, minOf(clock.nanos() + millisToNanos(request.maxWaitMillis), patience))
         return ChargeStep.Again(afterMillis = QuotaTimes.RETRY_MILLIS, promised = false)
     }
 
