List the fleet's VMs before their daemons start

Cause: in the system tests the platform's list was written after the daemons had started. The first VM made the shard map alone, and the shards then moved to the others for a minute; each move starts empty buckets and pauses a shard. Ruled out: lease losses by processor load (the same after the load had gone). Change: the harness picks the addresses and writes the list first, as a platform does.

--- a/system-test/src/main/kotlin/fireflyhinge/systemtest/Fleet.kt
+++ b/system-test/src/main/kotlin/fireflyhinge/systemtest/Fleet.kt
@@ -23,8 +23,11 @@
     /** Engines and plain services by name. */
     val upstreams: Map<String, ManagedProcess> = starter.all(spec.engines) { starter.upstream(it) }
 
+    /** Entries of the fleet's VMs in the platform's list, which has them before their daemons start. */
+    private val entries: Map<String, VmEntry> = spec.vms.associate { it.id to entry(it) }
+
     /** Daemons by VM id. */
-    var daemons: Map<String, ManagedProcess> = starter.all(spec.vms) { starter.daemon(it, store.listening) }
+    var daemons: Map<String, ManagedProcess> = emptyMap()
         private set
 
     /** The configuration objects in the store. */
@@ -34,32 +37,27 @@
     fun start(): Fleet {
         objects.writeAll(upstreams.mapValues { it.value.listening })
         setVms(spec.vms.associate { it.id to false })
+        daemons = starter.all(spec.vms) { starter.daemon(it, store.listening, entries.getValue(it.id)) }
         await("the daemons are not ready") { spec.vms.all { http.succeeds(controlAddress(it.id), "/readyz") } }
         return this
     }
 
     /** Caller address of [vm]. */
-    fun callerAddress(vm: String): String = daemons.getValue(vm).listening
+    fun callerAddress(vm: String): String = entries.getValue(vm).callerAddress
 
     /** Control address of [vm]. */
-    fun controlAddress(vm: String): String = daemons.getValue(vm).announcement["control"].asText()
+    fun controlAddress(vm: String): String = entries.getValue(vm).controlAddress
 
     /** Puts VMs into the platform's list at once; the value tells whether the VM is leaving. */
     fun setVms(leaving: Map<String, Boolean>) {
-        val entries =
-            spec.vms.filter { it.id in leaving }.map {
-                val caller = callerAddress(it.id)
-                VmEntry(it.id, it.region, it.failureDomain, caller, controlAddress(it.id), leaving.getValue(it.id))
-            }
-        http.post(store.listening, "/control/vms?now=true", entries)
+        val listed = leaving.map { (vm, leaves) -> entries.getValue(vm).copy(leaving = leaves) }
+        http.post(store.listening, "/control/vms?now=true", listed)
     }
 
     /** Starts a new process of [vm] on the addresses of the old one, which is killed. */
     fun restart(vm: String) {
-        val old = daemons.getValue(vm)
-        old.kill()
-        val control = old.announcement["control"].asText()
-        val started = starter.daemon(spec.vms.first { it.id == vm }, store.listening, old.listening, control)
+        daemons.getValue(vm).kill()
+        val started = starter.daemon(spec.vms.first { it.id == vm }, store.listening, entries.getValue(vm))
         daemons = daemons + (vm to started)
     }
 
--- a/system-test/src/main/kotlin/fireflyhinge/systemtest/ProcessStarter.kt
+++ b/system-test/src/main/kotlin/fireflyhinge/systemtest/ProcessStarter.kt
@@ -1,6 +1,7 @@
 package fireflyhinge.systemtest
 
 import fireflyhinge.config.UpstreamRole
+import fireflyhinge.store.VmEntry
 import java.nio.file.Path
 import java.util.concurrent.Callable
 import java.util.concurrent.Executors
@@ -19,10 +20,10 @@
         return standin(engine.name, kind + listOf("--listen", listen) + engine.arguments)
     }
 
-    fun daemon(vm: VmSpec, storeAddress: String, listen: String = ANY_PORT, control: String = ANY_PORT) =
+    fun daemon(vm: VmSpec, storeAddress: String, entry: VmEntry): ManagedProcess =
         ManagedProcess.start(
             name = vm.id,
-            command = JavaCommand.of("fireflyhinge.daemon.MainKt", daemonArguments(vm, storeAddress, listen, control)),
+            command = JavaCommand.of("fireflyhinge.daemon.MainKt", daemonArguments(vm, storeAddress, entry)),
             directory = directory,
             environment = SECRETS,
         )
@@ -37,9 +38,9 @@
         }
     }
 
-    private fun daemonArguments(vm: VmSpec, store: String, listen: String, control: String): List<String> =
+    private fun daemonArguments(vm: VmSpec, store: String, entry: VmEntry): List<String> =
         listOf("--vm", vm.id, "--region", vm.region, "--failure-domain", vm.failureDomain) +
-            listOf("--listen", listen, "--control-listen", control, "--store", store) +
+            listOf("--listen", entry.callerAddress, "--control-listen", entry.controlAddress, "--store", store) +
             spec.daemonArguments
 
     private fun standin(name: String, arguments: List<String>): ManagedProcess =
