--- a/daemon/src/main/kotlin/fireflyhinge/daemon/quota/QuotaTimes.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/quota/QuotaTimes.kt
@@ -27,8 +27,8 @@
     const val POLL_MILLIS = 50L
 
     /**
-     * Longest search for an owner that acts: a lease that runs out (4.04 s), a store write and the first promise. A late
-     * answer is better than the refusal of a request within its workspace's rate.
+     * Longest search for an owner that acts: a lease that runs out (4.04 s), a store write and the first promise. A
+     * late answer is better than the refusal of a request within its workspace's rate.
      */
     const val OWNER_PATIENCE_MILLIS = 6_000L
 }
