--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/CallerMetrics.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/CallerMetrics.kt
@@ -3,9 +3,11 @@
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.slf4j.LoggerFactory
 
-/** Counters of the caller API. */
+/** Counters and the request log of the caller API. */
 class CallerMetrics(registry: PrometheusRegistry) {
+    private val log = LoggerFactory.getLogger(javaClass)
     private val requests =
         Counter
             .builder()
@@ -29,8 +31,11 @@
             .classicUpperBounds(0.05, 0.1, 0.2, 0.4, 0.8, 1.3, 2.0, 4.0, 8.0)
             .register(registry)
 
-    /** Counts a request that ended with [code]. */
-    fun request(kind: String, code: String) = requests.labelValues(kind, code).inc()
+    /** Counts and logs a request that ended with [code]. */
+    fun request(kind: String, code: String) {
+        requests.labelValues(kind, code).inc()
+        log.info("{} request ended with {}", kind, code)
+    }
 
     /** Counts the tokens of an answer. */
     fun tokens(workspace: String, prompt: Int, completion: Int) {
--- a/system-test/src/main/kotlin/fireflyhinge/measure/Evaluation.kt
+++ b/system-test/src/main/kotlin/fireflyhinge/measure/Evaluation.kt
@@ -47,7 +47,8 @@
             good = good.size,
             refused = results.count { it.second.refused() },
             failed = results.count { !it.second.whole && !it.second.refused() },
-            wrongful = within.count { it.second.refused() },
+            // Of a workspace over its rate, not the same requests need be admitted as in the model, but as many.
+            wrongful = maxOf(0, within.size - results.count { !it.second.refused() }),
             goodTokens = good.sumOf { it.first.outputTokens }.toDouble() / seconds,
             fairTokens = fair,
             excess = maxOf(0.0, used - spec.rate * ended - spec.burst),
--- a/system-test/src/main/kotlin/fireflyhinge/measure/Scenario.kt
+++ b/system-test/src/main/kotlin/fireflyhinge/measure/Scenario.kt
@@ -40,8 +40,8 @@
             Scenario(
                 name = "store-down",
                 load = 0.9,
-                fault = { it.control(it.store, "outage", mapOf("mode" to "REFUSE")) },
-                repair = { it.control(it.store, "outage", mapOf("mode" to "NONE")) },
+                fault = { it.control(it.store, "outage", mapOf("mode" to "refuse")) },
+                repair = { it.control(it.store, "outage", mapOf("mode" to "off")) },
             )
 
         private fun killVm(fleet: Fleet) = fleet.daemons.getValue(victim(fleet)).kill()
