--- a/daemon/src/main/kotlin/fireflyhinge/daemon/cell/PlacementAttempt.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/PlacementAttempt.kt
@@ -32,8 +32,9 @@
     fun run(abandoned: () -> Boolean): Outcome<HeldPlacement> {
         while (next < cells.size) {
             val address = cells[next]
-            val remaining = deadline - clock.millis()
-            if (remaining <= 0) break
+            // The owner refuses at the request's limit. It is given longer, as it places nothing just after a takeover.
+            if (clock.millis() > maxOf(deadline, patience)) break
+            val remaining = maxOf(1, deadline - clock.millis())
             val sentAt = clock.millis()
             val future = router.place(address, request.copy(maxWaitMillis = remaining), failures, executor)
             val reply = await(address, future, sentAt + ASK_AGAIN_MILLIS, abandoned)
@@ -78,9 +79,8 @@
         askAgainAt: Long,
         abandoned: () -> Boolean,
     ): PlaceReply? {
-        val until = minOf(askAgainAt, deadline + GRACE_MILLIS)
         while (!abandoned()) {
-            val left = until - clock.millis()
+            val left = askAgainAt - clock.millis()
             // A local owner answers only when it has decided; a remote one was silent for too long.
             if (left <= 0) return if (router.isLocal(address)) PlaceReply.Waiting() else null
             try {
@@ -126,8 +126,5 @@
         const val OWNER_PATIENCE_MILLIS = 6_000L
         const val RETRY_MILLIS = 50L
         const val FAILURES_PER_REGION = 10
-
-        /** Time for the owner's refusal at the deadline to arrive. */
-        const val GRACE_MILLIS = 200L
     }
 }
