Let the golden recorder wait for the log line of each request's end

Ruled out: a wrong order in the daemon (the line came in every run, only after the record was read). Change: a session has ended when as many ends are logged as requests were sent. No comparison changes. Conclusion: a race of the test, introduced with the log line.

--- a/daemon/src/test/kotlin/fireflyhinge/daemon/golden/GoldenSession.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/golden/GoldenSession.kt
@@ -32,7 +32,7 @@
     fun run(case: GoldenCase): String {
         case.prepare(this)
         val bytes = case.requests.map { exchange(it, case.leavesAfter) }
-        waitForEnd()
+        waitForEnd(case.requests.size)
         return Normalizer.normalize(bytes.joinToString("") + recorder.text())
     }
 
@@ -54,16 +54,18 @@
         return text.toString()
     }
 
-    private fun waitForEnd() {
+    private fun waitForEnd(requests: Int) {
         val end = System.nanoTime() + SILENCE * 1_000_000L
-        while (!ended() && System.nanoTime() < end) Thread.sleep(5)
-        check(ended()) { "the session keeps a charge or a ticket" }
+        while (!ended(requests) && System.nanoTime() < end) Thread.sleep(5)
+        check(ended(requests)) { "the session keeps a charge or a ticket, or does not log its end" }
     }
 
     // Counts notes, as the fakes know of a call before it is noted.
-    private fun ended(): Boolean {
+    private fun ended(requests: Int): Boolean {
         val charged = if (fixture.quota.refusal == null) recorder.count("charge") else 0
-        return recorder.count("settle") == charged && recorder.count("release") == recorder.count("place")
+        // The end is logged after the charge is settled, and a caller that has left does not wait for it.
+        val logged = recorder.ends == requests
+        return logged && recorder.count("settle") == charged && recorder.count("release") == recorder.count("place")
     }
 
     override fun close() {
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/golden/SessionRecorder.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/golden/SessionRecorder.kt
@@ -38,6 +38,9 @@
     /** Number of calls of [method] that have been noted. */
     fun count(method: String): Int = entries.count { it.text.startsWith("$method(") }
 
+    /** Number of requests whose end was logged. */
+    val ends: Int get() = entries.count { it.text.startsWith("log ") && "request ended with" in it.text }
+
     override fun append(event: ILoggingEvent) {
         if (!event.loggerName.startsWith("fireflyhinge") || !event.level.isGreaterOrEqual(Level.INFO)) return
         note("log ${event.level} ${event.loggerName.substringAfterLast('.')}: ${event.formattedMessage}")
