Share the tests' fleet set-up and their transport, and list each setting once

Cause: eight test classes started and stopped their fleets with the same lines, three in-memory transports stood in the daemon's tests, and a setting had to be named in two lists. Change: FleetExtension, MemoryTransport; settings register themselves. No check changes.

--- a/daemon/src/main/kotlin/fireflyhinge/daemon/settings/Settings.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/settings/Settings.kt
@@ -35,18 +35,19 @@
         private const val TOKEN_RULE = "at least $MIN_TOKEN_LENGTH characters"
         private val policies = setOf("reserve", "round-robin", "least-load")
 
-        private val vm = Setting("vm", "Id of this VM in the platform's list.", NAME_RULE, parse = ::name)
-        private val region = Setting("region", "Region of this VM.", NAME_RULE, parse = ::name)
+        private val declared = mutableListOf<Setting<*>>()
+        private val vm = setting("vm", "Id of this VM in the platform's list.", NAME_RULE, parse = ::name)
+        private val region = setting("region", "Region of this VM.", NAME_RULE, parse = ::name)
         private val failureDomain =
-            Setting("failure-domain", "Failure domain of this VM.", NAME_RULE, parse = ::name)
+            setting("failure-domain", "Failure domain of this VM.", NAME_RULE, parse = ::name)
         private val listen =
-            Setting("listen", "Address of the caller API.", ADDRESS_RULE, parse = HostPort::parse)
+            setting("listen", "Address of the caller API.", ADDRESS_RULE, parse = HostPort::parse)
         private val controlListen =
-            Setting("control-listen", "Address of the control API.", ADDRESS_RULE, parse = HostPort::parse)
+            setting("control-listen", "Address of the control API.", ADDRESS_RULE, parse = HostPort::parse)
         private val store =
-            Setting("store", "Address of the platform store.", ADDRESS_RULE, parse = HostPort::parse)
+            setting("store", "Address of the platform store.", ADDRESS_RULE, parse = HostPort::parse)
         private val seedPeers =
-            Setting(
+            setting(
                 name = "seed-peers",
                 description = "Control addresses of VMs to ask while the VM list cannot be read.",
                 allowed = "comma-separated host:port entries",
@@ -54,7 +55,7 @@
                 parse = ::addresses,
             )
         private val peerToken =
-            Setting(
+            setting(
                 name = "peer-token",
                 description = "Secret shared by all daemons.",
                 allowed = TOKEN_RULE,
@@ -62,7 +63,7 @@
                 parse = ::token,
             )
         private val operatorToken =
-            Setting(
+            setting(
                 name = "operator-token",
                 description = "Secret of the operators.",
                 allowed = TOKEN_RULE,
@@ -76,7 +77,7 @@
         private val drainLimit =
             number("drain-limit-s", "Longest wait for running requests at shutdown in seconds.", 1L..86_400L, 1800)
         private val policy =
-            Setting(
+            setting(
                 name = "policy",
                 description = "Placement policy; the two last ones are baselines for measurements.",
                 allowed = policies.joinToString(),
@@ -84,7 +85,7 @@
                 parse = { text -> text.takeIf { it in policies } },
             )
         private val traceEndpoint =
-            Setting(
+            setting(
                 name = "trace-endpoint",
                 description = "OTLP/HTTP endpoint that receives spans; empty sends none.",
                 allowed = "an http:// URL or empty",
@@ -93,11 +94,7 @@
             )
 
         /** Every setting, in the order of the documentation. */
-        val ALL: List<Setting<*>> =
-            listOf(
-                vm, region, failureDomain, listen, controlListen, store, seedPeers, peerToken, operatorToken,
-                maxRequests, addressTtl, drainLimit, policy, traceEndpoint,
-            )
+        val ALL: List<Setting<*>> = declared.toList()
 
         /** Checks [given], a map from setting name to text, and reports all faults at once. */
         fun read(given: Map<String, String?>): SettingsResult {
@@ -145,8 +142,17 @@
         }
 
         private fun number(name: String, description: String, range: LongRange, default: Long): Setting<Long> =
-            Setting(name, description, "${range.first} to ${range.last}", default.toString()) { text ->
+            setting(name, description, "${range.first} to ${range.last}", default.toString()) { text ->
                 text.toLongOrNull()?.takeIf { it in range }
             }
+
+        private fun <T : Any> setting(
+            name: String,
+            description: String,
+            allowed: String,
+            default: String? = null,
+            secret: Boolean = false,
+            parse: (String) -> T?,
+        ): Setting<T> = Setting(name, description, allowed, default, secret, parse).also { declared += it }
     }
 }
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/MemoryFleet.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/MemoryFleet.kt
@@ -1,21 +1,15 @@
 package fireflyhinge.daemon
 
-import com.fasterxml.jackson.databind.JavaType
-import fireflyhinge.Json
 import fireflyhinge.daemon.config.ConfigService
 import fireflyhinge.daemon.config.ConfigSettings
 import fireflyhinge.daemon.membership.GossipService
 import fireflyhinge.daemon.membership.GossipSettings
 import fireflyhinge.membership.Member
-import fireflyhinge.peer.PeerEndpoint
-import fireflyhinge.peer.PeerResult
-import fireflyhinge.peer.PeerTransport
 import fireflyhinge.store.VmEntry
-import java.util.concurrent.ConcurrentHashMap
 
-/** Daemons' membership and configuration in one process; messages pass through JSON as on the wire. */
+/** Daemons' membership and configuration in one process. */
 class MemoryFleet(size: Int, val store: MemoryStore = MemoryStore()) : AutoCloseable {
-    private val endpoints = ConcurrentHashMap<String, Map<String, PeerEndpoint<*>>>()
+    val transport = MemoryTransport()
     val nodes = List(size) { Node("vm$it") }
 
     init {
@@ -26,7 +20,7 @@
 
     override fun close() = nodes.forEach { it.close() }
 
-    inner class Node(val id: String) : PeerTransport, AutoCloseable {
+    inner class Node(val id: String) : AutoCloseable {
         private val self =
             Member(
                 id = id,
@@ -37,37 +31,21 @@
                 incarnation = 1,
                 heartbeat = 0,
             )
-        val gossip = GossipService(GossipSettings(self, seeds = listOf("vm0:2"), roundMillis = 50), store, this)
-        val config = ConfigService(ConfigSettings(seeds = listOf("vm0:2"), pollMillis = 50), store, this, gossip)
+        val gossip = GossipService(GossipSettings(self, seeds = listOf("vm0:2"), roundMillis = 50), store, transport)
+        val config = ConfigService(ConfigSettings(seeds = listOf("vm0:2"), pollMillis = 50), store, transport, gossip)
 
         fun start() {
             gossip.attach(config)
             config.onObject("fences", gossip.reports::onFence)
-            endpoints[id] = (config.endpoints + gossip.endpoint).associateBy { it.path }
+            transport.serve(id, config.endpoints + gossip.endpoint)
             gossip.start()
             config.start()
         }
 
         override fun close() {
-            endpoints.remove(id)
+            transport.stop(id)
             config.close()
             gossip.close()
         }
-
-        override fun <T : Any> post(
-            vm: String,
-            path: String,
-            message: Any,
-            reply: Class<T>,
-            timeoutMillis: Long,
-        ): PeerResult<T> {
-            val endpoint = endpoints[vm.substringBefore(':')]?.get(path) ?: return PeerResult.ConnectionRefused
-            return PeerResult.Ok(Json.mapper.readValue(call(endpoint, Json.encode(message)), reply))
-        }
-
-        private fun <M : Any> call(endpoint: PeerEndpoint<M>, text: String): String {
-            val type: JavaType = Json.mapper.constructType(endpoint.type)
-            return Json.encode(endpoint.handle(Json.mapper.readValue(text, type)))
-        }
     }
 }
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/admin/AdminRoutesTest.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/admin/AdminRoutesTest.kt
@@ -20,7 +20,7 @@
         MemoryFleet(size = 3).use { fleet ->
             fleet.start()
             val node = fleet.nodes.first()
-            val api = AdminApi(fleet.store, node.config, node.gossip, node, node.gossip.reports::setDraining)
+            val api = AdminApi(fleet.store, node.config, node.gossip, fleet.transport, node.gossip.reports::setDraining)
             while (node.gossip.members().size < 3 || !node.config.ready()) Thread.sleep(10)
             TestHost(AdminRoutes(api, OperatorAuth(listOf("secret")))::register).use { host ->
                 cases.forEach { case ->
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/cell/FakeFleet.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/cell/FakeFleet.kt
@@ -1,23 +1,21 @@
 package fireflyhinge.daemon.cell
 
-import fireflyhinge.Json
 import fireflyhinge.config.ConfigSnapshot
 import fireflyhinge.config.ConfigSource
 import fireflyhinge.config.Upstream
 import fireflyhinge.config.UpstreamRole
+import fireflyhinge.daemon.MemoryTransport
 import fireflyhinge.lease.ShardOwnership
 import fireflyhinge.membership.Member
 import fireflyhinge.membership.Membership
-import fireflyhinge.peer.PeerEndpoint
-import fireflyhinge.peer.PeerResult
-import fireflyhinge.peer.PeerTransport
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import java.util.concurrent.ConcurrentHashMap
 
-/** Daemons in one process whose messages pass through JSON. [owners] names the acting VM of each region. */
+/** Daemons in one process. [owners] names the acting VM of each region. */
 internal class FakeFleet(slots: Int, vararg vms: Pair<String, String>) : AutoCloseable {
     val owners = ConcurrentHashMap<String, String>()
-    val unreachable: MutableSet<String> = ConcurrentHashMap.newKeySet()
+    private val transport = MemoryTransport()
+    val unreachable: MutableSet<String> get() = transport.unreachable
 
     /** VMs whose next answer is lost after they acted. */
     val losesReply: MutableSet<String> = ConcurrentHashMap.newKeySet()
@@ -30,6 +28,11 @@
     var snapshot = ConfigSnapshot()
     private val daemons = vms.associate { (vm, region) -> vm to FakeDaemon(vm, region) }
 
+    init {
+        transport.losesReply = { vm, _ -> losesReply.remove(vm) }
+        daemons.values.forEach { transport.serve(it.vm, it.service.endpoints()) }
+    }
+
     operator fun get(vm: String): FakeDaemon = daemons.getValue(vm)
 
     fun upstreams(region: String, slots: Int): List<Upstream> =
@@ -56,10 +59,10 @@
     }
 
     inner class FakeDaemon(val vm: String, val region: String) :
-        ShardOwnership, Membership, PeerTransport, ConfigSource {
+        ShardOwnership, Membership, ConfigSource {
         val registry = PrometheusRegistry()
         val service = CellService(ownership = this, config = this, membership = this, engines = engines)
-        val router = OwnerRouter(cells = service, ownership = this, membership = this, transport = this)
+        val router = OwnerRouter(cells = service, ownership = this, membership = this, transport = transport)
         val client = PeerPlacementClient(router = router, config = this, registry = registry)
 
         override fun shardOf(key: String) = 0
@@ -81,22 +84,5 @@
         override fun current(): ConfigSnapshot = snapshot
 
         override fun onChange(listener: (ConfigSnapshot) -> Unit) = Unit
-
-        override fun <T : Any> post(
-            vm: String,
-            path: String,
-            message: Any,
-            reply: Class<T>,
-            timeoutMillis: Long,
-        ): PeerResult<T> {
-            val peer = daemons[vm]?.takeIf { vm !in unreachable } ?: return PeerResult.ConnectionRefused
-            val endpoint = peer.service.endpoints().single { it.path == path }
-            val answer = Json.encode(handle(endpoint, Json.encode(message)))
-            if (losesReply.remove(vm)) return PeerResult.Failed("reply lost")
-            return PeerResult.Ok(Json.mapper.readValue(answer, reply))
-        }
-
-        private fun <M : Any> handle(endpoint: PeerEndpoint<M>, body: String): Any =
-            endpoint.handle(Json.mapper.readValue(body, endpoint.type))
     }
 }
--- a/system-test/src/test/kotlin/fireflyhinge/systemtest/ConfigFaultTest.kt
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/ConfigFaultTest.kt
@@ -1,27 +1,21 @@
 package fireflyhinge.systemtest
 
-import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
-import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
+import org.junit.jupiter.api.extension.RegisterExtension
 
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class ConfigFaultTest {
-    private val fleet = Fleet(TestFleets.small(vms = 4, prefill = 1, decode = 1), TestFleets.logs)
+    @RegisterExtension
+    @JvmField
+    internal val running = FleetExtension(TestFleets.small(vms = 4, prefill = 1, decode = 1))
+    private val fleet = running.fleet
     private val operator = Operator(fleet)
     private val calls = ModelCalls(fleet)
     private val vms = fleet.spec.vms.map { it.id }
 
-    @BeforeAll
-    fun start() {
-        fleet.start()
-    }
-
-    @AfterAll
-    fun stop() = fleet.close()
-
     /** Guards against VMs that go on with an old configuration, with and without an outage after the change. */
     @Test
     fun aChangeIsHeldByAllVmsInTime() {
--- a/system-test/src/test/kotlin/fireflyhinge/systemtest/HeldCapacityTest.kt
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/HeldCapacityTest.kt
@@ -2,15 +2,14 @@
 
 import fireflyhinge.config.Priority
 import fireflyhinge.config.UpstreamRole
-import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
-import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.MethodOrderer
 import org.junit.jupiter.api.Order
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
 import org.junit.jupiter.api.TestMethodOrder
+import org.junit.jupiter.api.extension.RegisterExtension
 import java.util.concurrent.CompletableFuture
 
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
@@ -18,28 +17,22 @@
 class HeldCapacityTest {
     // Batch priority, because a long prefill and a full pool exceed the first-token target of interactive requests.
     private val workspace = WorkspaceSpec("klerki", rate = 1e6, burst = 1e7, priority = Priority.BATCH)
-    private val fleet =
-        Fleet(
+    @RegisterExtension
+    @JvmField
+    internal val running =
+        FleetExtension(
             TestFleets.small(
                 vms = 5,
                 workspaces = listOf(workspace),
                 prefill = 1,
                 decode = 1,
                 prefillArguments = listOf("--prefill-us-per-token", "1000"),
-                decodeArguments = listOf("--decode-step-us", "25000", "--decode-step-growth-us", "0"),
+                decodeArguments = TestFleets.SLOW_DECODE,
             ),
-            TestFleets.logs,
         )
+    private val fleet = running.fleet
     private val calls = ModelCalls(fleet)
 
-    @BeforeAll
-    fun start() {
-        fleet.start()
-    }
-
-    @AfterAll
-    fun stop() = fleet.close()
-
     /** Guards against engine memory that stays allocated after the caller left during prefill or decode. */
     @Test
     @Order(1)
--- a/system-test/src/test/kotlin/fireflyhinge/systemtest/KeyFaultTest.kt
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/KeyFaultTest.kt
@@ -2,41 +2,34 @@
 
 import fireflyhinge.config.UpstreamRole
 import fireflyhinge.daemon.admin.ApiKey
-import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
-import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.MethodOrderer
 import org.junit.jupiter.api.Order
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
 import org.junit.jupiter.api.TestMethodOrder
+import org.junit.jupiter.api.extension.RegisterExtension
 
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 @TestMethodOrder(MethodOrderer.OrderAnnotation::class)
 class KeyFaultTest {
     private val workspaces = listOf("lauki", "klerki", "graudi").map { WorkspaceSpec(it, rate = 1e6, burst = 1e7) }
-    private val fleet =
-        Fleet(
+    @RegisterExtension
+    @JvmField
+    internal val running =
+        FleetExtension(
             TestFleets.small(
                 workspaces = workspaces,
-                decodeArguments = listOf("--decode-step-us", "25000", "--decode-step-growth-us", "0"),
+                decodeArguments = TestFleets.SLOW_DECODE,
             ),
-            TestFleets.logs,
         )
+    private val fleet = running.fleet
     private val operator = Operator(fleet)
     private val http = HttpCaller()
     private val caller = ChatCaller()
     private val vms = fleet.spec.vms.map { it.id }
 
-    @BeforeAll
-    fun start() {
-        fleet.start()
-    }
-
-    @AfterAll
-    fun stop() = fleet.close()
-
     /** Guards against keys that stop working only because the store is down. */
     @Test
     @Order(1)
--- a/system-test/src/test/kotlin/fireflyhinge/systemtest/LeavingTest.kt
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/LeavingTest.kt
@@ -1,40 +1,33 @@
 package fireflyhinge.systemtest
 
-import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNotNull
 import org.junit.jupiter.api.Assertions.assertTrue
-import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.MethodOrderer
 import org.junit.jupiter.api.Order
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
 import org.junit.jupiter.api.TestMethodOrder
+import org.junit.jupiter.api.extension.RegisterExtension
 import java.util.concurrent.atomic.AtomicBoolean
 
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 @TestMethodOrder(MethodOrderer.OrderAnnotation::class)
 class LeavingTest {
-    private val fleet =
-        Fleet(
+    @RegisterExtension
+    @JvmField
+    internal val running =
+        FleetExtension(
             TestFleets.small(
                 vms = 4,
                 decode = 4,
-                decodeArguments = listOf("--decode-step-us", "25000", "--decode-step-growth-us", "0"),
+                decodeArguments = TestFleets.SLOW_DECODE,
             ),
-            TestFleets.logs,
         )
+    private val fleet = running.fleet
     private val operator = Operator(fleet)
     private val calls = ModelCalls(fleet)
 
-    @BeforeAll
-    fun start() {
-        fleet.start()
-    }
-
-    @AfterAll
-    fun stop() = fleet.close()
-
     /** Guards against new work for an upstream that an operator marked as leaving. */
     @Test
     @Order(1)
--- a/system-test/src/test/kotlin/fireflyhinge/systemtest/NonIdempotentCallTest.kt
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/NonIdempotentCallTest.kt
@@ -1,28 +1,22 @@
 package fireflyhinge.systemtest
 
-import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
-import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.BeforeEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
+import org.junit.jupiter.api.extension.RegisterExtension
 
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class NonIdempotentCallTest {
-    private val fleet = Fleet(TestFleets.small(vms = 4, prefill = 1, decode = 1), TestFleets.logs)
+    @RegisterExtension
+    @JvmField
+    internal val running = FleetExtension(TestFleets.small(vms = 4, prefill = 1, decode = 1))
+    private val fleet = running.fleet
     private val http = HttpCaller()
     private val vms = fleet.spec.vms.map { it.id }
     private val service get() = fleet.upstreams.values.first { it.name.startsWith("service") }
 
-    @BeforeAll
-    fun start() {
-        fleet.start()
-    }
-
-    @AfterAll
-    fun stop() = fleet.close()
-
     /** Each case starts without the faults of the one before and after shards of a killed VM were taken over. */
     @BeforeEach
     fun settle() {
--- a/system-test/src/test/kotlin/fireflyhinge/systemtest/PoisonTest.kt
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/PoisonTest.kt
@@ -1,36 +1,29 @@
 package fireflyhinge.systemtest
 
 import fireflyhinge.config.UpstreamRole
-import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
-import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
+import org.junit.jupiter.api.extension.RegisterExtension
 
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class PoisonTest {
     // A crash ends an engine's process, so each of the two cases has its three crashes and a pair of engines is left.
-    private val fleet =
-        Fleet(
+    @RegisterExtension
+    @JvmField
+    internal val running =
+        FleetExtension(
             TestFleets.small(
                 prefill = 1,
                 decode = 8,
-                decodeArguments = listOf("--decode-step-us", "25000", "--decode-step-growth-us", "0"),
+                decodeArguments = TestFleets.SLOW_DECODE,
             ),
-            TestFleets.logs,
         )
+    private val fleet = running.fleet
     private val calls = ModelCalls(fleet)
     private val decoders = fleet.spec.engines.filter { it.role == UpstreamRole.DECODE }.map { it.name }
 
-    @BeforeAll
-    fun start() {
-        fleet.start()
-    }
-
-    @AfterAll
-    fun stop() = fleet.close()
-
     /** Guards against a request that crashes one engine after another when it is sent again through other VMs. */
     @Test
     fun aPromptThatCrashesEnginesIsBarredAfterThreeCrashes() = poison(word = "nightshade", mode = "off")
--- a/system-test/src/test/kotlin/fireflyhinge/systemtest/QuotaFaultTest.kt
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/QuotaFaultTest.kt
@@ -1,14 +1,13 @@
 package fireflyhinge.systemtest
 
-import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
-import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.MethodOrderer
 import org.junit.jupiter.api.Order
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
 import org.junit.jupiter.api.TestMethodOrder
+import org.junit.jupiter.api.extension.RegisterExtension
 import java.util.concurrent.TimeUnit
 
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
@@ -16,15 +15,10 @@
 class QuotaFaultTest {
     private val steady = WorkspaceSpec("graudi", rate = RATE, burst = BURST)
     private val greedy = WorkspaceSpec("klerki", rate = RATE, burst = BURST)
-    private val fleet = Fleet(TestFleets.small(vms = 5, workspaces = listOf(steady, greedy)), TestFleets.logs)
-
-    @BeforeAll
-    fun start() {
-        fleet.start()
-    }
-
-    @AfterAll
-    fun stop() = fleet.close()
+    @RegisterExtension
+    @JvmField
+    internal val running = FleetExtension(TestFleets.small(vms = 5, workspaces = listOf(steady, greedy)))
+    private val fleet = running.fleet
 
     /** Guards against refusals of requests within their rate when only the store is down. */
     @Test
--- a/system-test/src/test/kotlin/fireflyhinge/systemtest/TestFleets.kt
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/TestFleets.kt
@@ -7,6 +7,9 @@
 internal object TestFleets {
     const val MODEL = "valodas-modelis"
     const val SERVICE = "rezervju-lietne"
+
+    /** Decode engines whose answers last long enough to be disturbed: 25 ms a token, whatever else they run. */
+    val SLOW_DECODE = listOf("--decode-step-us", "25000", "--decode-step-growth-us", "0")
     private const val REGION = "vidzemes-lauki"
     private val domains = listOf("cesu-zona", "valmieras-zona")
 
--- a/system-test/src/test/kotlin/fireflyhinge/systemtest/WholeAnswerTest.kt
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/WholeAnswerTest.kt
@@ -1,32 +1,25 @@
 package fireflyhinge.systemtest
 
-import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.Assertions.assertEquals
-import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
+import org.junit.jupiter.api.extension.RegisterExtension
 import java.util.concurrent.TimeUnit
 
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class WholeAnswerTest {
-    private val fleet =
-        Fleet(
+    @RegisterExtension
+    @JvmField
+    internal val running =
+        FleetExtension(
             TestFleets.small(
                 decode = 5,
-                decodeArguments = listOf("--decode-step-us", "25000", "--decode-step-growth-us", "0"),
+                decodeArguments = TestFleets.SLOW_DECODE,
             ),
-            TestFleets.logs,
         )
+    private val fleet = running.fleet
     private val calls = ModelCalls(fleet)
 
-    @BeforeAll
-    fun start() {
-        fleet.start()
-    }
-
-    @AfterAll
-    fun stop() = fleet.close()
-
     /** Guards against answers with missing, repeated or foreign tokens after their decode engine was killed. */
     @Test
     fun answersContinueAtTheNextTokenAfterTheDecodeEngineWasKilled() =
