--- a/core/src/main/kotlin/fireflyhinge/quota/QuotaClient.kt
+++ b/core/src/main/kotlin/fireflyhinge/quota/QuotaClient.kt
@@ -8,8 +8,7 @@
 interface QuotaClient {
     /**
      * Blocks until the charge may be used, is refused, or [ChargeRequest.maxWaitMillis] has passed. Polls [abandoned]
-     * at least
-     * every 100 ms and returns the charge to the owner when the caller has left.
+     * at least every 100 ms and returns the charge to the owner when the caller has left.
      */
     fun charge(request: ChargeRequest, abandoned: () -> Boolean): Outcome<Charge>
 
