--- a/core/src/main/kotlin/fireflyhinge/result/ResultCode.kt
+++ b/core/src/main/kotlin/fireflyhinge/result/ResultCode.kt
@@ -31,7 +31,7 @@
     BURST_TOO_SMALL(3002, 400, Run.NOT_RUN, "The request costs more tokens than the workspace's burst."),
     QUOTA_UNAVAILABLE(3003, 503, Run.NOT_RUN, "The owner of the workspace's quota did not answer in time."),
     FINGERPRINT_BARRED(3004, 422, Run.NOT_RUN, "The request crashed upstreams and is barred for a while."),
-    CAPACITY_EXHAUSTED(4001, 503, Run.NOT_RUN, "No capacity is free in time for the latency target."),
+    CAPACITY_EXHAUSTED(4001, 503, Run.NOT_RUN, "No capacity became free within the longest wait of the request."),
     PLACEMENT_UNAVAILABLE(4002, 503, Run.NOT_RUN, "The scheduler of the pool did not answer in time."),
     NO_UPSTREAM(4003, 503, Run.NOT_RUN, "No upstream of the route is available."),
     DRAINING(4004, 503, Run.NOT_RUN, "This VM is draining; use another address."),
