Measure requests that are lost on keep-alive connections when a server stops

Cause: the announced close of daemon/http had no figure that compares it with a plain close of idle connections. Ruled out: a caller that reuses a connection it could know to be closed; callers look for the close before each request, so that only requests under way are counted. Fleets under test can give JVM options to a daemon and leave a VM out at the start, which the partition and joining tests use.

--- a/system-test/src/main/kotlin/fireflyhinge/slopes/SlopesCommand.kt
+++ b/system-test/src/main/kotlin/fireflyhinge/slopes/SlopesCommand.kt
@@ -9,7 +9,9 @@
 
 /** Measures how costs grow, for the extrapolation in `docs/CAPACITY.md`. */
 internal class SlopesCommand : CliktCommand(name = "slopes") {
-    private val part by option("--part", help = "Part to measure").choice("messages", "fleet", "path").required()
+    private val part by option("--part", help = "Part to measure")
+        .choice("messages", "fleet", "path", "closing")
+        .required()
 
     override fun help(context: Context) = "Measures costs by fleet size, message content and load on loopback."
 
@@ -19,6 +21,7 @@
         when (part) {
             "messages" -> MessageSlopes.run(print)
             "fleet" -> FleetSlopes.run(print)
+            "closing" -> ClosingRace.run(print)
             else -> PathSlopes.run(print)
         }
     }
--- a/system-test/src/main/kotlin/fireflyhinge/systemtest/Fleet.kt
+++ b/system-test/src/main/kotlin/fireflyhinge/systemtest/Fleet.kt
@@ -36,9 +36,10 @@
     /** Writes the configuration and waits until all daemons are ready. */
     fun start(): Fleet {
         objects.writeAll(upstreams.mapValues { it.value.listening })
-        setVms(spec.vms.associate { it.id to false })
-        daemons = starter.all(spec.vms) { starter.daemon(it, store.listening, entries.getValue(it.id)) }
-        await("the daemons are not ready") { spec.vms.all { http.succeeds(controlAddress(it.id), "/readyz") } }
+        val first = spec.vms.filterNot { it.late }
+        setVms(first.associate { it.id to false })
+        daemons = starter.all(first) { starter.daemon(it, store.listening, entries.getValue(it.id)) }
+        await("the daemons are not ready") { first.all { http.succeeds(controlAddress(it.id), "/readyz") } }
         return this
     }
 
@@ -54,9 +55,9 @@
         http.post(store.listening, "/control/vms?now=true", listed)
     }
 
-    /** Starts a new process of [vm] on the addresses of the old one, which is killed. */
+    /** Starts a process of [vm] on its addresses; an older one is killed. */
     fun restart(vm: String) {
-        daemons.getValue(vm).kill()
+        daemons[vm]?.kill()
         val started = starter.daemon(spec.vms.first { it.id == vm }, store.listening, entries.getValue(vm))
         daemons = daemons + (vm to started)
     }
--- a/system-test/src/main/kotlin/fireflyhinge/systemtest/ProcessStarter.kt
+++ b/system-test/src/main/kotlin/fireflyhinge/systemtest/ProcessStarter.kt
@@ -23,7 +23,12 @@
     fun daemon(vm: VmSpec, storeAddress: String, entry: VmEntry): ManagedProcess =
         ManagedProcess.start(
             name = vm.id,
-            command = JavaCommand.of("fireflyhinge.daemon.MainKt", daemonArguments(vm, storeAddress, entry)),
+            command =
+            JavaCommand.of(
+                mainClass = "fireflyhinge.daemon.MainKt",
+                arguments = daemonArguments(vm, storeAddress, entry),
+                jvmArguments = vm.jvmArguments,
+            ),
             directory = directory,
             environment = SECRETS,
         )
