Confine requests by the number of crashes that they took part in

Cause: after one crash each request of the crashed replica ran as the only suspect on its replicas, so the suspects waited for one another.

Ruled out: missed crashes (each broken stream was followed by a refused connection) and the store, which answered.

Change: CrashLevel gives the confinement for 0 to 3 crashes. At most 4 light suspects (one crash) run on one replica; a strong suspect (two crashes) runs with no other suspect; three crashes bar the fingerprint. The answer to a charge carries the number of crashes, ModelRun adds those that it sees, and the placement request carries the sum. A crash uses up neither an attempt nor the retry budget. The rule that barred a fingerprint at its second crash as the only suspect is gone, and CrashReport no longer tells whether it was alone.

A new placement after a crash now waits up to 60 s.

--- a/core/src/main/kotlin/fireflyhinge/peer/ChargeReply.kt
+++ b/core/src/main/kotlin/fireflyhinge/peer/ChargeReply.kt
@@ -5,8 +5,8 @@
 /** Answer of the quota owner. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "type")
 sealed interface ChargeReply {
-    /** Debited; the request may go on after [waitMillis]. A [suspect] must run alone on a replica. */
-    data class Granted(val epoch: Long, val waitMillis: Long, val suspect: Boolean = false) : ChargeReply
+    /** Debited; the request may go on after [waitMillis]. Its fingerprint took part in [crashes] replica crashes. */
+    data class Granted(val epoch: Long, val waitMillis: Long, val crashes: Int = 0) : ChargeReply
 
     /** Not debited: the tokens are available in [retryAfterMillis]. */
     data class RateExceeded(val retryAfterMillis: Long) : ChargeReply
--- a/core/src/main/kotlin/fireflyhinge/peer/CrashReport.kt
+++ b/core/src/main/kotlin/fireflyhinge/peer/CrashReport.kt
@@ -6,5 +6,4 @@
     val replicaIncarnation: Long,
     val workspace: String,
     val fingerprints: Set<String>,
-    val onlySuspect: Boolean,
 )
--- a/core/src/main/kotlin/fireflyhinge/peer/PlaceRequest.kt
+++ b/core/src/main/kotlin/fireflyhinge/peer/PlaceRequest.kt
@@ -8,7 +8,7 @@
  *
  * @property prefixHashes hashes of the prompt's prefixes at each multiple of 1,000 tokens, scoped to the workspace.
  * @property maxWaitMillis longest wait in the queue; the request is refused as not run when it cannot be met.
- * @property suspect whether the request must run as the only suspect on its replicas.
+ * @property crashes replica crashes that the request took part in: those known at the charge and those seen since.
  * @property avoid replicas that failed in earlier attempts of this request.
  */
 data class PlaceRequest(
@@ -24,6 +24,6 @@
     val prefixHashes: List<String>,
     val maxWaitMillis: Long,
     val fingerprint: String,
-    val suspect: Boolean = false,
+    val crashes: Int = 0,
     val avoid: Set<String> = emptySet(),
 )
--- a/core/src/main/kotlin/fireflyhinge/quota/ChargeBook.kt
+++ b/core/src/main/kotlin/fireflyhinge/quota/ChargeBook.kt
@@ -27,28 +27,28 @@
      * Debits [request] once, however often it is sent. A repeated request learns the wait that remains. If it comes
      * after it could have been used, it is charged anew: tokens that lay unused would otherwise add to a full bucket.
      */
-    fun charge(request: ChargeRequest, suspect: Boolean, now: Long): ChargeReply {
+    fun charge(request: ChargeRequest, crashes: Int, now: Long): ChargeReply {
         charges.dropOverdue(now)
         val held = charges[request.chargeId]
         return when {
             charges.isSettled(request.chargeId) -> ChargeReply.RateExceeded(retryAfterMillis = 0L)
-            held == null -> chargeAnew(request, suspect, now)
-            !held.spent || bucket.past(held.place) <= tolerance -> granted(request.chargeId, held, suspect, now)
+            held == null -> chargeAnew(request, crashes, now)
+            !held.spent || bucket.past(held.place) <= tolerance -> granted(request.chargeId, held, crashes, now)
             else -> {
                 bucket.add(held.tokens)
-                chargeAnew(request.copy(tokens = held.tokens), suspect, now)
+                chargeAnew(request.copy(tokens = held.tokens), crashes, now)
             }
         }
     }
 
-    private fun chargeAnew(request: ChargeRequest, suspect: Boolean, now: Long): ChargeReply {
+    private fun chargeAnew(request: ChargeRequest, crashes: Int, now: Long): ChargeReply {
         val depth = bucket.limits.depth
         val wait = bucket.waitForMore(request.tokens)
         val undebited =
             when {
                 request.tokens > depth -> ChargeReply.ExceedsBurst(depth)
                 wait > longestWait(request) -> ChargeReply.RateExceeded(retryAfterMillis = millis(wait))
-                floors.binding(now) > maxOf(0.0, bucket.level - request.tokens) -> blocked(request, suspect)
+                floors.binding(now) > maxOf(0.0, bucket.level - request.tokens) -> blocked(request, crashes)
                 else -> null
             }
         if (undebited != null) {
@@ -57,24 +57,24 @@
         }
         val made = Reservation(tokens = request.tokens, place = bucket.debit(request.tokens), madeAt = now)
         charges.add(request.chargeId, made)
-        return granted(request.chargeId, made, suspect, now)
+        return granted(request.chargeId, made, crashes, now)
     }
 
     /** Lets the asker ask again, by when the successor should hold a lower floor. Nothing is debited. */
-    private fun blocked(request: ChargeRequest, suspect: Boolean): ChargeReply {
+    private fun blocked(request: ChargeRequest, crashes: Int): ChargeReply {
         floors.block(request.tokens)
         if (request.maxWaitMillis < FLOOR_WAIT_MILLIS) return ChargeReply.RateExceeded(FLOOR_WAIT_MILLIS)
-        return ChargeReply.Granted(epoch = epoch, waitMillis = FLOOR_WAIT_MILLIS, suspect = suspect)
+        return ChargeReply.Granted(epoch = epoch, waitMillis = FLOOR_WAIT_MILLIS, crashes = crashes)
     }
 
-    private fun granted(id: String, held: Reservation, suspect: Boolean, now: Long): ChargeReply {
+    private fun granted(id: String, held: Reservation, crashes: Int, now: Long): ChargeReply {
         val wait = millis(bucket.waitFor(held.place))
         when {
             held.spent -> Unit
             wait <= FINAL_WAIT_MILLIS -> charges.spend(id)
             else -> charges.postpone(id, dueAt = now + TimeUnit.MILLISECONDS.toNanos(wait))
         }
-        return ChargeReply.Granted(epoch = epoch, waitMillis = wait, suspect = suspect)
+        return ChargeReply.Granted(epoch = epoch, waitMillis = wait, crashes = crashes)
     }
 
     /** Returns the unused part of a charge, at most what was charged, and tells how many tokens were put back. */
--- a/core/src/main/kotlin/fireflyhinge/quota/CrashBook.kt
+++ b/core/src/main/kotlin/fireflyhinge/quota/CrashBook.kt
@@ -3,7 +3,7 @@
 import fireflyhinge.peer.CrashReport
 import java.time.Duration
 
-/** Which fingerprints are suspected of crashing replicas, in bounded memory. Not thread-safe. */
+/** How many replica crashes each fingerprint took part in, in bounded memory. Not thread-safe. */
 class CrashBook(private val capacity: Int = CAPACITY) {
     private val records = LinkedHashMap<String, CrashRecord>()
 
@@ -14,39 +14,36 @@
     fun report(report: CrashReport, now: Long) {
         expire(now)
         val crash = "${report.replica}/${report.replicaIncarnation}"
-        val suspects = report.fingerprints.filter { isSuspect(it, now) }
-        val alone = suspects.singleOrNull().takeIf { report.onlySuspect }
-        report.fingerprints.forEach { count(it, crash, alone = it == alone, now = now) }
+        report.fingerprints.forEach { count(it, crash, now) }
     }
 
-    private fun count(fingerprint: String, crash: String, alone: Boolean, now: Long) {
-        val held = records.remove(fingerprint) ?: CrashRecord(crashes = emptySet(), lastAt = now)
-        val isNew = crash !in held.crashes
-        val crashes = held.crashes + crash
-        val barred = isNew && (crashes.size >= CRASHES_TO_BAR || (crashes.size > 1 && alone))
-        val until = if (barred) now + BAR_NANOS else held.barredUntil
-        records[fingerprint] =
-            CrashRecord(crashes = crashes, lastAt = if (isNew) now else held.lastAt, barredUntil = until)
+    private fun count(fingerprint: String, crash: String, now: Long) {
+        val held = records[fingerprint]
+        if (held != null && crash in held.crashes) return
+        records -= fingerprint
+        records[fingerprint] = CrashRecord(crashes = held?.crashes.orEmpty() + crash, lastAt = now)
         if (records.size > capacity) records.remove(records.keys.first())
     }
 
-    /** Whether the fingerprint must run as the only suspect on its replicas. */
-    fun isSuspect(fingerprint: String, now: Long): Boolean =
-        records[fingerprint]?.let { now - it.lastAt < BAR_NANOS } ?: false
+    /** Crashes that the fingerprint took part in; 0 when the last one is 10 minutes old. */
+    fun crashes(fingerprint: String, now: Long): Int = live(fingerprint, now)?.crashes?.size ?: 0
 
     /** Nanoseconds for which the fingerprint stays barred, or null if it is not. */
     fun barredFor(fingerprint: String, now: Long): Long? =
-        records[fingerprint]?.barredUntil?.let { it - now }?.takeIf { it > 0 }
+        live(fingerprint, now)
+            ?.takeIf { CrashLevel.of(it.crashes.size) == CrashLevel.BARRED }
+            ?.let { it.lastAt + LIFE_NANOS - now }
 
-    /** Records are ordered by their last report, so the expired ones come first. */
+    private fun live(fingerprint: String, now: Long) = records[fingerprint]?.takeIf { now - it.lastAt < LIFE_NANOS }
+
+    /** Records are ordered by their last crash, so the expired ones come first. */
     private fun expire(now: Long) {
         val eldest = records.values.iterator()
-        while (eldest.hasNext() && now - eldest.next().lastAt >= BAR_NANOS) eldest.remove()
+        while (eldest.hasNext() && now - eldest.next().lastAt >= LIFE_NANOS) eldest.remove()
     }
 
     private companion object {
         const val CAPACITY = 512
-        const val CRASHES_TO_BAR = 3
-        val BAR_NANOS = Duration.ofMinutes(10).toNanos()
+        val LIFE_NANOS = Duration.ofMinutes(10).toNanos()
     }
 }
--- a/core/src/main/kotlin/fireflyhinge/quota/QuotaShard.kt
+++ b/core/src/main/kotlin/fireflyhinge/quota/QuotaShard.kt
@@ -29,7 +29,7 @@
             val barred = crashes.barredFor(request.fingerprint, now)
             if (barred != null) return ChargeReply.Barred(retryAfterMillis = TimeUnit.NANOSECONDS.toMillis(barred))
             val book = buckets.book(request.workspace, limits, actingEpoch, now) ?: return null
-            val reply = book.charge(request, suspect = crashes.isSuspect(request.fingerprint, now), now = now)
+            val reply = book.charge(request, crashes = crashes.crashes(request.fingerprint, now), now = now)
             renewal = renewal || book.floors.needsLower(now)
             reply
         }
--- a/core/src/main/kotlin/fireflyhinge/schedule/CellReplicas.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/CellReplicas.kt
@@ -48,8 +48,7 @@
     /** Binds the slot of a ticket that another owner issued. */
     fun adopt(ticket: Ticket) {
         (byName[ticket.placed.decodeReplica] as? DecodeReplica)?.bind(ticket)
-        val prefill = byName[ticket.placed.prefillReplica]
-        if (ticket.request.suspect && !ticket.prefillDone) prefill?.suspects?.add(ticket.id)
+        if (!ticket.prefillDone) byName[ticket.placed.prefillReplica]?.suspects?.add(ticket)
     }
 
     /** Frees what [ticket] holds; with [lapsed] its slot stays taken until the engine has dropped the request. */
@@ -68,7 +67,7 @@
 
     /** Replicas in `avoid` are used only if there is no other. */
     private fun <T : Replica> List<T>.usable(request: PlaceRequest): List<T> {
-        val accepting = filter { it.accepts(request.suspect) }
+        val accepting = filter { it.accepts(request) }
         return if (all { it.name in request.avoid || !it.available }) {
             accepting
         } else {
--- a/core/src/main/kotlin/fireflyhinge/schedule/DecodeReplica.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/DecodeReplica.kt
@@ -29,13 +29,13 @@
     fun bind(ticket: Ticket) {
         bound[ticket.id] = ticket
         foreign -= ticket.engineId
-        if (ticket.request.suspect) suspects += ticket.id
+        suspects.add(ticket)
     }
 
     /** Frees the slot of a request that holds nothing any more. */
     fun release(ticket: Ticket) {
         bound -= ticket.id
-        suspects -= ticket.id
+        suspects.remove(ticket)
         foreign -= ticket.engineId
     }
 
--- a/core/src/main/kotlin/fireflyhinge/schedule/PrefillReplica.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/PrefillReplica.kt
@@ -25,12 +25,12 @@
         busyUntil = end
         assignedSinceReport += ticket.prefillTokens
         prefixes.add(ticket.request.workspace, ticket.request.prefixHashes)
-        if (ticket.request.suspect) suspects += ticket.id
+        suspects.add(ticket)
     }
 
     /** Learns from the report of a finished prefill. */
     fun finished(ticket: Ticket, cachedTokens: Int?, prefillMillis: Long?) {
-        suspects -= ticket.id
+        suspects.remove(ticket)
         if (cachedTokens != null && cachedTokens + PrefixBeliefs.BLOCK_TOKENS <= ticket.believedCached) {
             prefixes.overestimated()
         }
@@ -41,7 +41,7 @@
 
     /** Forgets a ticket that ended. */
     fun release(ticket: Ticket) {
-        suspects -= ticket.id
+        suspects.remove(ticket)
     }
 
     override fun onRestart() {
--- a/core/src/main/kotlin/fireflyhinge/schedule/Replica.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/Replica.kt
@@ -2,13 +2,14 @@
 
 import fireflyhinge.config.Upstream
 import fireflyhinge.engine.EngineLoad
+import fireflyhinge.peer.PlaceRequest
 
 /** What a cell believes about one replica. Not thread-safe; the cell's lock guards it. */
 internal sealed class Replica(var upstream: Upstream) {
     val link = LinkReservations()
 
     /** Tickets of suspects that may touch the replica. */
-    val suspects = mutableSetOf<String>()
+    val suspects = ReplicaSuspects()
 
     /** The last load report, or null before the first one. */
     var load: EngineLoad? = null
@@ -22,7 +23,7 @@
     val available: Boolean get() = !upstream.leaving && load?.leaving != true && failures == 0
 
     /** Whether [request] may be placed here. */
-    fun accepts(suspect: Boolean): Boolean = available && (!suspect || suspects.isEmpty())
+    fun accepts(request: PlaceRequest): Boolean = available && suspects.admits(request.level)
 
     /** Takes a load report. */
     fun report(newLoad: EngineLoad, now: Long) {
--- a/core/src/main/kotlin/fireflyhinge/schedule/ReservingPolicy.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/ReservingPolicy.kt
@@ -1,6 +1,7 @@
 package fireflyhinge.schedule
 
 import fireflyhinge.peer.PlaceRequest
+import fireflyhinge.quota.CrashLevel
 
 /**
  * Places a request when a decode slot and the transfer links are free as its prefill ends. The prefill replica is the
@@ -12,7 +13,7 @@
         val transfer = prefill?.let { plan -> bestTransfer(plan, request, replicas, now) }
         return when {
             prefill != null && transfer != null -> place(prefill, transfer)
-            request.suspect || request.avoid.isNotEmpty() -> PlacementChoice.WaitThis
+            request.level != CrashLevel.NONE || request.avoid.isNotEmpty() -> PlacementChoice.WaitThis
             else -> PlacementChoice.WaitAll
         }
     }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelPipeline.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelPipeline.kt
@@ -47,7 +47,7 @@
             budgets.accepted(job.access.scope, job.route.service)
             val planner = PlacementStep(ports, limits, job, caller)
             val run = ModelRun(ports, limits, budgets, planner, progress)
-            run.run(cleanup, crashes, suspect = charge?.suspect ?: false)
+            run.run(cleanup, crashes, earlierCrashes = charge?.crashes ?: 0)
         } finally {
             charge?.let { ports.quota.settle(it, unused(it, job, progress)) }
         }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelRun.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelRun.kt
@@ -1,6 +1,7 @@
 package fireflyhinge.daemon.caller
 
 import fireflyhinge.engine.EngineRequestId
+import fireflyhinge.quota.CrashLevel
 import fireflyhinge.result.Outcome
 import fireflyhinge.retry.RetryBudgets
 import fireflyhinge.time.millis
@@ -17,46 +18,52 @@
     private val log = LoggerFactory.getLogger(javaClass)
     private val job = placements.job
     private val caller = placements.caller
-    private var alone = false
+    private var crashes = 0
+    private var attempts = 0
     private var avoid = emptySet<String>()
     private var last: AttemptResult.Failed? = null
+    private var paced = false
 
-    /** Tries until the request has ended or its attempts are used up. A [suspect] runs alone on its replicas. */
-    fun run(cleanup: EngineCleanup, crashes: CrashDetector, suspect: Boolean): ModelResult {
-        alone = suspect
-        for (number in 1..limits.attempts(job.priority)) {
-            attempt(number, cleanup, crashes)?.let { return it }
+    /**
+     * Tries until the request has ended or its attempts are used up. [earlierCrashes] are those that its fingerprint
+     * took part in before. Crashes use up no attempts, because the third one ends the request.
+     */
+    fun run(cleanup: EngineCleanup, detector: CrashDetector, earlierCrashes: Int): ModelResult {
+        crashes = earlierCrashes
+        var number = 0
+        while (attempts < limits.attempts(job.priority)) {
+            number++
+            attempt(number, cleanup, detector)?.let { return it }
         }
         return failed()
     }
 
     /** The result of the request, or null when it may be placed again. */
-    private fun attempt(number: Int, cleanup: EngineCleanup, crashes: CrashDetector): ModelResult? {
+    private fun attempt(number: Int, cleanup: EngineCleanup, detector: CrashDetector): ModelResult? {
         if (!mayTry()) return failed()
         val placed =
-            when (val reply = placements.place(number, avoid, alone)) {
+            when (val reply = placements.place(number, avoid, crashes)) {
                 is Outcome.Failure -> return notPlaced(reply)
                 is Outcome.Success -> reply.value
             }
-        val watch = crashes.watch(placed)
+        val watch = detector.watch(placed)
         val id = EngineRequestId(job.requestId, number)
         val context = AttemptContext(ports, limits, job, caller, progress, placed, id)
         return when (val result = ModelAttempt(context).run(cleanup)) {
             is AttemptResult.Done -> answered(result.finishReason)
             AttemptResult.Departed -> ModelResult.Departed
             AttemptResult.KeyWithdrawn -> ModelResult.Failed(withdrawn(progress))
-            AttemptResult.TicketExpired -> null
+            AttemptResult.TicketExpired -> null.also { attempts++ }
             is AttemptResult.Failed -> retried(result, watch)
         }
     }
 
     /**
-     * Waits for the retry budget. An accepted request is paced rather than ended when the budget is used up, because
-     * its answer may have begun.
+     * Waits for the retry budget after a failure that was no crash. An accepted request is paced rather than ended when
+     * the budget is used up, because its answer may have begun.
      */
     private fun mayTry(): Boolean {
-        val failure = last?.failure ?: return true
-        if (failure.ranNothing()) return true
+        if (!paced) return true
         val deadline = job.arrivedMillis + limits.retryWait(job.priority)
         while (!budgets.tryRetry(job.access.scope, job.route.service)) {
             if (ports.clock.millis() > deadline || pointless(ports, job, caller)) return false
@@ -68,12 +75,11 @@
     private fun retried(result: AttemptResult.Failed, watch: CrashDetector.Watch): ModelResult? {
         last = result
         avoid = avoid + result.replica
-        log.warn("an attempt failed at replica {}: {}", result.replica, result.failure)
-        if (!watch.crashed(job, result, alone)) return null
-        // A second crash as the only suspect bars the fingerprint, so no further replica is risked.
-        if (alone) return failed()
-        alone = true
-        return null
+        val crashed = watch.crashed(job, result)
+        if (crashed) crashes++ else attempts++
+        paced = !crashed && !result.failure.ranNothing()
+        log.warn("an attempt failed at replica {}: {}, crashes: {}", result.replica, result.failure, crashes)
+        return if (CrashLevel.of(crashes) == CrashLevel.BARRED) failed() else null
     }
 
     private fun notPlaced(refusal: Outcome.Failure): ModelResult =
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/PipelineLimits.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/PipelineLimits.kt
@@ -17,6 +17,8 @@
  * @property progressMillis longest silence of a decode stream.
  * @property crashProbeMillis longest wait for the verdict whether a broken replica crashed.
  * @property interactiveRetryMillis time for which a failed interactive request waits for the retry budget.
+ * @property suspectMillis longest wait of an interactive request for a new placement after a crash. Four requests of a
+ * crashed batch of 20 run at a time on the last replica, so the others wait for up to four rounds of answers.
  */
 data class PipelineLimits(
     val attempts: Int = 3,
@@ -30,6 +32,7 @@
     val progressMillis: Long = 2000,
     val crashProbeMillis: Long = 500,
     val interactiveRetryMillis: Long = 10_000,
+    val suspectMillis: Long = 60_000,
 ) {
     /** Placements tried for one request. */
     fun attempts(priority: Priority): Int = if (priority == Priority.BATCH) batchAttempts else attempts
@@ -40,6 +43,10 @@
     /** Time after the arrival for which a failed request waits for the retry budget. */
     fun retryWait(priority: Priority): Long = if (priority == Priority.BATCH) batchMillis else interactiveRetryMillis
 
+    /** Longest wait for a new placement of a request that took part in [crashes]. */
+    fun newPlaceWait(priority: Priority, crashes: Int): Long =
+        if (crashes > 0) maxOf(suspectMillis, retryWait(priority)) else retryWait(priority)
+
     /** Longest wait for a placement, [elapsed] milliseconds after the request came. */
     fun placeWait(priority: Priority, elapsed: Long): Long =
         if (priority == Priority.BATCH) batchMillis else maxOf(MIN_PLACE_MILLIS, firstTokenMillis - elapsed)
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/PlacementStep.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/PlacementStep.kt
@@ -14,13 +14,14 @@
     val job: ModelJob,
     val caller: CallerLink,
 ) {
-    /** Blocks until attempt [number] is placed or refused. */
-    fun place(number: Int, avoid: Set<String>, suspect: Boolean): Outcome<PlaceReply.Placed> {
+    /** Blocks until attempt [number] of a request that took part in [crashes] is placed or refused. */
+    fun place(number: Int, avoid: Set<String>, crashes: Int): Outcome<PlaceReply.Placed> {
         val self = ports.membership.self()
         // The first-token target runs from the request's arrival. A later attempt continues an answer that may have
-        // begun, and the suspects of a crash are placed one after another, so it may wait longer.
+        // begun, and the suspects of a crash may have to wait for one another, so it may wait longer.
         val elapsed = ports.clock.millis() - job.arrivedMillis
-        val wait = if (number == 1) limits.placeWait(job.priority, elapsed) else limits.retryWait(job.priority)
+        val later = limits.newPlaceWait(job.priority, crashes)
+        val wait = if (number == 1) limits.placeWait(job.priority, elapsed) else later
         val request =
             PlaceRequest(
                 requestId = job.requestId,
@@ -35,7 +36,7 @@
                 prefixHashes = job.digest.prefixHashes,
                 maxWaitMillis = wait,
                 fingerprint = job.digest.fingerprint,
-                suspect = suspect,
+                crashes = crashes,
                 avoid = avoid,
             )
         return Tracing.hop("place") { ports.placement.place(request) { pointless(ports, job, caller) } }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/quota/ChargeAttempt.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/quota/ChargeAttempt.kt
@@ -7,6 +7,7 @@
 import fireflyhinge.result.Outcome
 import fireflyhinge.result.ResultCode
 import fireflyhinge.time.MonotonicClock
+import org.slf4j.LoggerFactory
 import java.util.concurrent.TimeUnit
 
 /** One request's way to a usable charge. Every question carries the same charge id, which is debited once. */
@@ -86,7 +87,7 @@
                 tokens = request.tokens,
                 epoch = reply.epoch,
                 owner = owner,
-                suspect = reply.suspect,
+                crashes = reply.crashes,
             )
         return ChargeStep.Done(Outcome.Success(charge))
     }
@@ -102,8 +103,11 @@
     private fun refused(code: ResultCode, retryAfterMillis: Long?, detail: String = "") =
         ChargeStep.Done(Outcome.Failure(code, detail = detail, retryAfterMillis = retryAfterMillis))
 
-    private fun unavailable(reason: String) =
-        Outcome.Failure(ResultCode.QUOTA_UNAVAILABLE, detail = if (detail.isEmpty()) reason else "$reason: $detail")
+    private fun unavailable(reason: String): Outcome.Failure {
+        val cause = if (detail.isEmpty()) reason else "$reason: $detail"
+        log.warn("no charge of {} tokens, owners asked: {}, {}", request.tokens, reached, cause)
+        return Outcome.Failure(ResultCode.QUOTA_UNAVAILABLE, detail = cause)
+    }
 
     /** Sleeps unless the caller leaves; returns whether it is still there. */
     private fun pause(millis: Long): Boolean {
@@ -117,4 +121,8 @@
     }
 
     private fun millisToNanos(millis: Long) = TimeUnit.MILLISECONDS.toNanos(millis)
+
+    private companion object {
+        val log = LoggerFactory.getLogger(ChargeAttempt::class.java)!!
+    }
 }
