--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/AttemptContext.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/AttemptContext.kt
@@ -31,6 +31,13 @@
     fun decodeFailed(failure: EngineFailure): AttemptResult =
         failed(placed.decodeReplica, placed.decodeAddress, failure)
 
+    /** The result of a [failure] of the KV transfer. If it broke, either replica may be the cause. */
+    fun importFailed(failure: EngineFailure): AttemptResult {
+        val result = decodeFailed(failure)
+        if (result !is AttemptResult.Failed || failure !is EngineFailure.Broken) return result
+        return result.copy(avoid = setOf(placed.prefillReplica, placed.decodeReplica))
+    }
+
     private fun failed(replica: String, address: String, failure: EngineFailure): AttemptResult =
         if (caller.departed()) AttemptResult.Departed else AttemptResult.Failed(replica, address, failure)
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/AttemptResult.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/AttemptResult.kt
@@ -7,8 +7,13 @@
     /** The answer is complete. [ended] tells that the engine sent its explicit end and so holds nothing more. */
     data class Done(val finishReason: String, val ended: Boolean) : AttemptResult
 
-    /** The replica [replica] at [address] failed; another attempt may succeed. */
-    data class Failed(val replica: String, val address: String, val failure: EngineFailure) : AttemptResult
+    /** The replica [replica] at [address] failed; another attempt may succeed and should not use [avoid]. */
+    data class Failed(
+        val replica: String,
+        val address: String,
+        val failure: EngineFailure,
+        val avoid: Set<String> = setOf(replica),
+    ) : AttemptResult
 
     /** The ticket expired before the attempt ended; the slot may be given to another request. */
     data object TicketExpired : AttemptResult
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelAttempt.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelAttempt.kt
@@ -87,7 +87,7 @@
 
     private fun failedAtImport(failure: EngineFailure): AttemptResult {
         if (failure.ranNothing()) held -= placed.decodeAddress
-        return context.decodeFailed(failure)
+        return context.importFailed(failure)
     }
 
     private fun decode(prefill: PrefillResult): AttemptResult {
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelRun.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelRun.kt
@@ -74,7 +74,7 @@
 
     private fun retried(result: AttemptResult.Failed, watch: CrashDetector.Watch): ModelResult? {
         last = result
-        avoid = avoid + result.replica
+        avoid = avoid + result.avoid
         val crashed = watch.crashed(job, result)
         if (crashed) crashes++ else attempts++
         paced = !crashed && !result.failure.ranNothing()
