--- a/core/src/main/kotlin/fireflyhinge/peer/PlaceRequest.kt
+++ b/core/src/main/kotlin/fireflyhinge/peer/PlaceRequest.kt
@@ -10,7 +10,7 @@
  * @property maxWaitMillis longest wait in the queue; the request is refused as not run when it cannot be met.
  * @property firstTokenMillis time left until the first token is due, negative once it has passed; null for a request
  * without a first-token target.
- * @property suspect whether the request must run as the only suspect on its replicas.
+ * @property crashes replica crashes that the request took part in: those known at the charge and those seen since.
  * @property avoid replicas that failed in earlier attempts of this request.
  */
 data class PlaceRequest(
@@ -27,6 +27,6 @@
     val maxWaitMillis: Long,
     val fingerprint: String,
     val firstTokenMillis: Long? = null,
-    val suspect: Boolean = false,
+    val crashes: Int = 0,
     val avoid: Set<String> = emptySet(),
 )
