Prove isolation, parted regions, joining VMs and silent peer connections with whole processes

Cause: four rows of the fault matrix were open, because the harness could not cut the network of one VM. Ruled out: other VMs gave the address no more at that moment. Change: GossipService gives the own entry with the isolation of the moment. A fleet with two regions, and plain calls that cost as much as model requests. The landed test sends plain calls, which are charged at peers, and holds one stream a VM. The placement of model requests during a silence is a row of its own, which is open.

--- a/daemon/src/main/kotlin/fireflyhinge/daemon/membership/GossipService.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/membership/GossipService.kt
@@ -48,11 +48,11 @@
     /** Starts the rounds. */
     fun start() = loop.start()
 
-    override fun self(): Member = state.read { table, now -> checkNotNull(table.view(table.self.id, now)) }
+    override fun self(): Member = checkNotNull(member(state.selfId))
 
-    override fun members(): List<Member> = state.read { table, now -> table.view(now) }
+    override fun members(): List<Member> = state.read { table, now -> table.view(now) }.map(::withIsolation)
 
-    override fun member(id: String): Member? = state.read { table, now -> table.view(id, now) }
+    override fun member(id: String): Member? = state.read { table, now -> table.view(id, now) }?.let(::withIsolation)
 
     override fun isolated(): Boolean = state.isolated()
 
@@ -61,6 +61,10 @@
 
     override fun close() = loop.close()
 
+    /** The table has the isolation of the last round; address answers must not name a VM that refuses by now. */
+    private fun withIsolation(member: Member): Member =
+        if (member.id == state.selfId) member.copy(isolated = state.isolated()) else member
+
     private fun beforeRound() {
         vmList.readIfDue()
         val isolated = state.isolated()
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/membership/MembershipState.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/membership/MembershipState.kt
@@ -14,6 +14,8 @@
 
 /** The member table with its rules under one lock, and the clock from which they take the time. */
 internal class MembershipState(self: Member, private val clock: MonotonicClock, private val random: Random) {
+    /** Id of this VM. */
+    val selfId: String = self.id
     private val lock = Any()
     private val table = MemberTable(self)
     private val updates = MemberUpdates(table)
--- a/system-test/src/main/kotlin/fireflyhinge/systemtest/FleetObjects.kt
+++ b/system-test/src/main/kotlin/fireflyhinge/systemtest/FleetObjects.kt
@@ -22,12 +22,20 @@
     internal fun writeAll(addresses: Map<String, String>) {
         write("templates", TEMPLATE, Template(name = TEMPLATE))
         write("routes", spec.model, Route(spec.model, RouteKind.MODEL, service = spec.model))
-        val idempotent = spec.serviceIdempotent
-        write("routes", spec.service, Route(spec.service, RouteKind.SERVICE, spec.service, idempotent = idempotent))
+        write("routes", spec.service, serviceRoute())
         spec.engines.forEach { write("upstreams", it.name, upstream(it, addresses.getValue(it.name))) }
         spec.workspaces.forEach { write("workspaces", it.name, workspace(it)) }
     }
 
+    private fun serviceRoute() =
+        Route(
+            name = spec.service,
+            kind = RouteKind.SERVICE,
+            service = spec.service,
+            idempotent = spec.serviceIdempotent,
+            costTokens = spec.serviceCostTokens,
+        )
+
     /** Writes [value] as the object [kind]/[name], whatever its version is. */
     fun write(kind: String, name: String, value: Any): StoredObject {
         val id = ObjectName(kind, name)
--- a/system-test/src/main/kotlin/fireflyhinge/systemtest/FleetSpec.kt
+++ b/system-test/src/main/kotlin/fireflyhinge/systemtest/FleetSpec.kt
@@ -10,4 +10,5 @@
     val daemonArguments: List<String> = emptyList(),
     val storeArguments: List<String> = emptyList(),
     val serviceIdempotent: Boolean = false,
+    val serviceCostTokens: Double = 1.0,
 )
--- a/system-test/src/test/kotlin/fireflyhinge/systemtest/TestFleets.kt
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/TestFleets.kt
@@ -13,6 +13,9 @@
     private const val REGION = "vidzemes-lauki"
     private val domains = listOf("cesu-zona", "valmieras-zona")
 
+    /** Regions of [twoRegions]. */
+    val regions = listOf(REGION, "zemgales-lauki")
+
     /** Directory for the logs of the processes. */
     val logs: Path = Path.of(System.getProperty("fireflyhinge.root"), "system-test", "target", "fleet-logs")
 
@@ -40,4 +43,18 @@
             daemonArguments = daemonArguments,
         )
     }
+
+    /** [spec] whose plain calls may be repeated and cost as much as the requests of [PacedLoad]. */
+    fun withPaidCalls(spec: FleetSpec): FleetSpec =
+        spec.copy(serviceIdempotent = true, serviceCostTokens = PacedLoad.COST.toDouble())
+
+    /** [small] with the odd VMs and replicas in one region and the even ones in the other. */
+    fun twoRegions(workspaces: List<WorkspaceSpec>): FleetSpec {
+        val one = withPaidCalls(small(vms = 4, workspaces = workspaces))
+        fun region(name: String) = regions[name.last().digitToInt() % 2]
+        return one.copy(
+            vms = one.vms.map { it.copy(region = region(it.id)) },
+            engines = one.engines.map { it.copy(region = region(it.name)) },
+        )
+    }
 }
