Give engines orders from the desired state of their upstreams

Cause: promise P12 needs an owner that gives engines orders (role, models, adapters, version of the weights). Only the client call existed; nothing decided on orders, and no configuration named a desired state.

Ruled out: placing the check of the lease at the decision only. A process that is paused between decision and sending would send after its successor. The right is therefore asked again once the connection is open, just before the first byte. A pause between that check and the write remains possible; only an engine that checks tokens can exclude it. Also ruled out: tokens from the epoch at which the owner began, with a counter of each cell. A cell that is set up again under the same epoch would start with old tokens, so the last token is kept for each shard of the process.

Change: optional models, adapters and modelVersion of an upstream beside its role, with their checks; package fireflyhinge.order with the decisions, with the clock passed in; EngineLoad reports role, models, adapters, version and the last order; ShardOwnership.leases tells epoch, end and confirmation of a lease; daemon/order runs beside the cell loops; PATCH upstreams/<name>, GET orders, fireflyctl upstream set and upstream status. A refused token or a failed load waits 10 s before the order is given again.

The report of the stand-in engine read its models before it ended an order whose time was over, so that an order was shown as done with the old models. It now reads the order first.

Three files of the system tests lacked a blank line that the rule SpacingBetweenDeclarationsWithAnnotations asks for; it is added.

--- a/core/src/main/kotlin/fireflyhinge/config/ObjectRules.kt
+++ b/core/src/main/kotlin/fireflyhinge/config/ObjectRules.kt
@@ -47,7 +47,7 @@
             fault("slots", "must be 1 to $MAX_SLOTS, not ${value.slots}").takeUnless { value.slots in 1..MAX_SLOTS },
             fault("linkMegabytesPerSecond", "must be a finite number above 0, not $link")
                 .takeUnless { link.isFinite() && link > 0 },
-        )
+        ) + DesiredStateRules.faults(value)
     }
 
     private fun isAddress(address: String): Boolean {
--- a/core/src/main/kotlin/fireflyhinge/config/Upstream.kt
+++ b/core/src/main/kotlin/fireflyhinge/config/Upstream.kt
@@ -1,12 +1,16 @@
 package fireflyhinge.config
 
 /**
- * One upstream replica.
+ * One upstream replica. Its desired state is [role], [models], [adapters] and [modelVersion]; the owner of its cell
+ * orders the engine to take it on. Null leaves that part of the engine as it is.
  *
  * @property address `host:port` of its HTTP server.
  * @property slots requests that a decode replica runs at once.
  * @property linkMegabytesPerSecond rate of the replica's KV transfer link.
  * @property checksFence whether the replica refuses orders with an old fencing number.
+ * @property models models that the engine must have loaded, and no others.
+ * @property adapters adapters that the engine must have loaded, and no others.
+ * @property modelVersion version of the weights that the engine must serve.
  * @property leaving true once the replica must get no new work.
  */
 data class Upstream(
@@ -20,6 +24,9 @@
     val linkMegabytesPerSecond: Double = 1000.0,
     val checksFence: Boolean = true,
     val leaving: Boolean = false,
+    val models: List<String>? = null,
+    val adapters: List<String>? = null,
+    val modelVersion: String? = null,
     override val changeId: String = "",
     override val deleted: Boolean = false,
 ) : ConfigObject
--- a/core/src/main/kotlin/fireflyhinge/engine/EngineClient.kt
+++ b/core/src/main/kotlin/fireflyhinge/engine/EngineClient.kt
@@ -31,6 +31,9 @@
     /** Lists the requests that hold memory. */
     fun held(address: String): EngineResult<List<HeldRequest>>
 
-    /** Gives an order. */
-    fun order(address: String, order: EngineOrder): EngineResult<Unit>
+    /**
+     * Gives an order. [permitted] is asked once the connection is open, just before the first byte is sent; if it is
+     * false the result is [EngineFailure.Unreachable]. The connection is closed if the answer takes over 1 s.
+     */
+    fun order(address: String, order: EngineOrder, permitted: () -> Boolean = { true }): EngineResult<Unit>
 }
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/engine/OrderState.kt
@@ -0,0 +1,4 @@
+package fireflyhinge.engine
+
+/** State of an order that an engine accepted. */
+enum class OrderState { RUNNING, DONE, FAILED }
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/lease/ActingLeases.kt
@@ -0,0 +1,14 @@
+package fireflyhinge.lease
+
+/** Reads the leases of one process from [state]. Not thread-safe. */
+class ActingLeases internal constructor(
+    private val state: LeaseState,
+    private val actingEpoch: (Int, Long) -> Long?,
+) {
+    /** The lease under which this process may act for [shard] at [now], or null. */
+    fun of(shard: Int, now: Long): ActingLease? {
+        val since = actingEpoch(shard, now) ?: return null
+        val lease = state.owners.all.getValue(shard)
+        return ActingLease(lease.entry.epoch, since = since, until = lease.until, confirmed = lease.confirmed)
+    }
+}
--- a/core/src/main/kotlin/fireflyhinge/lease/LeaseBook.kt
+++ b/core/src/main/kotlin/fireflyhinge/lease/LeaseBook.kt
@@ -21,6 +21,9 @@
     private val requests = LeaseRequests(state)
     private var lastBeat = startedAt
 
+    /** The leases under which this process may act, by shard and present time. */
+    val leases = ActingLeases(state, ::actingEpoch)
+
     /** Newest copy of the region's map that this process has learned. */
     val copy: MapCopy? get() = state.copy
 
--- a/core/src/main/kotlin/fireflyhinge/lease/ShardOwnership.kt
+++ b/core/src/main/kotlin/fireflyhinge/lease/ShardOwnership.kt
@@ -8,6 +8,9 @@
     /** Epoch under which this process may act for [shard] of its own region at this moment, or null if it may not. */
     fun actingEpoch(shard: Int): Long?
 
+    /** The leases behind [actingEpoch], for actions that need more than the right to act. */
+    val leases: ShardLeases get() = ShardLeases.None
+
     /** VM that is believed to own [shard] in [region], or null if none is known. */
     fun ownerOf(region: String, shard: Int): String?
 
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/order/PlannedOrder.kt
@@ -0,0 +1,11 @@
+package fireflyhinge.order
+
+import fireflyhinge.config.Upstream
+import fireflyhinge.engine.EngineOrder
+
+/**
+ * An order to send now.
+ *
+ * @property disrupts whether the engine must hold no request when the order is sent.
+ */
+data class PlannedOrder(val upstream: Upstream, val order: EngineOrder, val disrupts: Boolean)
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/order/ReplicaOrders.kt
@@ -0,0 +1,94 @@
+package fireflyhinge.order
+
+import fireflyhinge.engine.EngineOrder
+import fireflyhinge.engine.OrderProgress
+import fireflyhinge.engine.OrderState
+import java.time.Duration
+
+/** Orders of one owner to one replica. Times are monotonic nanoseconds. Not thread-safe. */
+internal class ReplicaOrders {
+    private var sent: SentOrder? = null
+    private var running: OrderProgress? = null
+    private var retryAt: Long? = null
+    private var staleAt: Long? = null
+    private var reportedFailure: Long? = null
+    private var answeredAt: Long? = null
+
+    var refusal: OrderRefusal? = null
+        private set
+
+    /** The order that is being sent, was sent, or is reported to run, or null. */
+    val current: EngineOrder? get() = sent?.order ?: running?.run { EngineOrder(fence, action, argument) }
+
+    /** Whether the engine refused a token and the map was not read since. */
+    val stopped: Boolean get() = staleAt != null
+
+    /** Takes what is known of the replica at [now]. [mapReadAt] is the begin of the last read of the map. */
+    fun observe(view: ReplicaView, mapReadAt: Long?, now: Long) {
+        if (staleAt?.let { mapReadAt != null && mapReadAt > it } == true) staleAt = null
+        if (view.answers) answeredAt = now
+        val progress = view.load?.order
+        // An engine that does not answer may still load weights, but not for ever.
+        running = progress?.takeIf { it.state == OrderState.RUNNING && now - (answeredAt ?: now) < SILENT_NANOS }
+        if (progress?.state == OrderState.FAILED) failed(progress, now)
+        sent?.let { if (isOver(it, view, now)) sent = null }
+    }
+
+    /** Whether the replica must wait after a refusal. */
+    fun waits(now: Long): Boolean = retryAt?.let { now < it } == true
+
+    /** Records the decision to send [order]. */
+    fun begin(order: EngineOrder, incarnation: Long?, now: Long) {
+        sent = SentOrder(order, incarnation, at = now)
+    }
+
+    /** Records how the sending of [order] ended. */
+    fun ended(order: EngineOrder, outcome: OrderOutcome, now: Long) {
+        val held = sent?.takeIf { it.order == order } ?: return
+        val open = outcome is OrderOutcome.Accepted || outcome is OrderOutcome.Unknown
+        sent = held.copy(sending = false).takeIf { open }
+        when (outcome) {
+            is OrderOutcome.Accepted, is OrderOutcome.NotSent -> Unit
+            is OrderOutcome.Unknown -> refusal = OrderRefusal(order, outcome.reason, now)
+            is OrderOutcome.Refused -> refused(order, outcome.reason, now)
+            is OrderOutcome.StaleToken -> {
+                staleAt = now
+                refused(order, outcome.reason, now)
+            }
+        }
+    }
+
+    private fun failed(progress: OrderProgress, now: Long) {
+        if (reportedFailure == progress.fence) return
+        reportedFailure = progress.fence
+        refused(EngineOrder(progress.fence, progress.action, progress.argument), progress.reason, now)
+    }
+
+    private fun refused(order: EngineOrder, reason: String, now: Long) {
+        refusal = OrderRefusal(order, reason, now)
+        retryAt = now + RETRY_NANOS
+    }
+
+    /** Whether the engine's report tells the end of [order], or can no longer tell it. */
+    private fun isOver(order: SentOrder, view: ReplicaView, now: Long): Boolean {
+        val load = view.load
+        val reported = load?.order?.takeIf { it.fence == order.order.fence }
+        return !order.sending &&
+            when {
+                load != null && load.incarnation != order.incarnation -> true
+                reported != null -> reported.state != OrderState.RUNNING
+                else -> now - order.at > UNREPORTED_NANOS
+            }
+    }
+
+    companion object {
+        /** Time after a refusal or a failure until the order is given again. */
+        val RETRY_NANOS: Long = Duration.ofSeconds(10).toNanos()
+
+        /** Time until an order that the engine does not report is taken to be lost; reports lag by less. */
+        val UNREPORTED_NANOS: Long = Duration.ofSeconds(5).toNanos()
+
+        /** Time for which a load of an engine that does not answer counts as going on. */
+        val SILENT_NANOS: Long = Duration.ofSeconds(60).toNanos()
+    }
+}
--- a/core/src/main/kotlin/fireflyhinge/schedule/Cell.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/Cell.kt
@@ -31,6 +31,9 @@
     private val dispatcher = Dispatcher(settings.policy.create(settings), replicas, queue, book, epoch)
     private val reports = TicketReports(replicas, book, epoch)
 
+    /** What orders to the engines need to know of the replicas, and their exclusion from placements. */
+    val holds = ReplicaHolds(replicas, book, knownAt = startedAt + settings.unknownMillis)
+
     /** Whether requests wait for a placement. */
     val waiting: Boolean get() = !queue.isEmpty
 
--- a/core/src/main/kotlin/fireflyhinge/schedule/CellReplicas.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/CellReplicas.kt
@@ -26,7 +26,13 @@
         byName.values.removeIf { it.name !in present || it.upstream.address != present[it.name]?.address }
         upstreams.forEach { upstream ->
             val known = byName[upstream.name]
-            if (known == null) byName[upstream.name] = create(upstream) else known.upstream = upstream
+            when {
+                known == null -> byName[upstream.name] = create(upstream)
+                // Until the engine reports the new role it must not get work in it.
+                known.upstream.role != upstream.role ->
+                    byName[upstream.name] = create(upstream).apply { withheld = true }
+                else -> known.upstream = upstream
+            }
         }
     }
 
--- a/core/src/main/kotlin/fireflyhinge/schedule/Replica.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/Replica.kt
@@ -18,8 +18,14 @@
 
     val name: String get() = upstream.name
 
+    /** Set while an order to the engine waits for its requests to end, or while it cannot serve as configured. */
+    var withheld = false
+
+    /** Whether the replica answered the last time it was asked. */
+    val answers: Boolean get() = load != null && failures == 0
+
     /** Whether the replica may get new work. */
-    val available: Boolean get() = !upstream.leaving && load?.leaving != true && failures == 0
+    val available: Boolean get() = !upstream.leaving && load?.leaving != true && failures == 0 && !withheld
 
     /** Whether [request] may be placed here. */
     fun accepts(suspect: Boolean): Boolean = available && (!suspect || suspects.isEmpty())
--- a/core/src/test/kotlin/fireflyhinge/config/ObjectDecoderTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/config/ObjectDecoderTest.kt
@@ -46,6 +46,22 @@
             Case("upstreams", """{"name":"u",$upstream}""", emptySet()),
             Case("upstreams", """{"name":"u",$upstream,"slots":0}""", setOf("FH-7003 slots")),
             Case("upstreams", """{"name":"u",${upstream.replace(":80", "")}}""", setOf("FH-7003 address")),
+            Case(
+                "upstreams",
+                """{"name":"u",$upstream,"models":["a","org/b:1"],"adapters":[],"modelVersion":"2026-11"}""",
+                emptySet(),
+            ),
+            Case(
+                "upstreams",
+                """{"name":"u",$upstream,"models":["a","a"],"adapters":[null],"modelVersion":""}""",
+                setOf("FH-7003 models", "FH-7003 adapters", "FH-7003 modelVersion"),
+            ),
+            Case("upstreams", """{"name":"u",$upstream,"models":"a"}""", setOf("FH-7003 models")),
+            Case(
+                "upstreams",
+                """{"name":"u",${upstream.replace("DECODE", "SERVICE")},"models":["a"],"adapters":["b"]}""",
+                setOf("FH-7003 models", "FH-7003 adapters"),
+            ),
             Case("upstreams", """[]""", setOf("FH-7003 value")),
             Case("upstreams", "{", setOf("FH-7003 value")),
             Case("templates", """{"name":"${"x".repeat(ObjectDecoder.MAX_BYTES)}"}""", setOf("FH-7004 value")),
--- /dev/null
+++ b/core/src/test/kotlin/fireflyhinge/schedule/ReplicaHoldsTest.kt
@@ -0,0 +1,54 @@
+package fireflyhinge.schedule
+
+import fireflyhinge.config.UpstreamRole
+import fireflyhinge.engine.EngineLoad
+import fireflyhinge.peer.PlaceReply
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class ReplicaHoldsTest {
+    private val known = SchedulerSettings().unknownMillis
+
+    private fun Cell.quiet(now: Long = known) = holds.views(now).filter { it.quiet }.map { it.upstream.name }
+
+    /** Guards against a placement on a replica that waits for an order, and an order before its requests have ended. */
+    @Test
+    fun aWithheldReplicaGetsNoPlacementAndIsQuietAfterItsRequests() {
+        val cell = openCell(decodes = 2)
+        val load = EngineLoad(incarnation = 1, running = 0, queuedPrefillTokens = 0, slots = 2)
+        cell.holds.views(OPEN).forEach { cell.report(it.upstream.name, load, OPEN) }
+        assertEquals(emptyList<String>(), cell.quiet(), "only a withheld replica is quiet")
+        val first = request("1")
+        val placed = (cell.ask(first, OPEN) ?: cell.pump(OPEN)["1/1"]) as PlaceReply.Placed
+        cell.holds.withhold(setOf(placed.decodeReplica))
+        assertEquals(emptyList<String>(), cell.quiet())
+        listOf("2", "3").forEach { id ->
+            cell.ask(request(id), OPEN)
+            val other = cell.pump(OPEN).getValue("$id/1") as PlaceReply.Placed
+            assertFalse(other.decodeReplica == placed.decodeReplica)
+        }
+        cell.update(report(first, placed, released = true), OPEN + 50)
+        assertEquals(listOf(placed.decodeReplica), cell.quiet())
+    }
+
+    /** Guards against an order of a new owner that does not know the tickets of the previous one yet. */
+    @Test
+    fun nothingIsQuietBeforeTheTicketsAreKnown() {
+        val cell = Cell(epoch = 1, startedAt = 0)
+        cell.configure(upstreams(UpstreamRole.DECODE, 1), emptyMap())
+        cell.holds.withhold(setOf("DECODE-1"))
+        assertEquals(emptyList<String>(), cell.quiet(known - 1))
+        assertEquals(listOf("DECODE-1"), cell.quiet(known))
+    }
+
+    /** Guards against placements in a new role that the engine has not taken on. */
+    @Test
+    fun aReplicaWhoseRoleChangesIsWithheld() {
+        val cell = openCell()
+        val changed = upstreams(UpstreamRole.DECODE, 1).map { it.copy(role = UpstreamRole.PREFILL) }
+        cell.configure(changed + upstreams(UpstreamRole.PREFILL, 1), emptyMap())
+        assertTrue(cell.quiet().contains("DECODE-1"), "it is withheld and holds no ticket")
+    }
+}
--- a/ctl/src/main/kotlin/fireflyhinge/ctl/Fireflyctl.kt
+++ b/ctl/src/main/kotlin/fireflyhinge/ctl/Fireflyctl.kt
@@ -84,6 +84,8 @@
             ListCommand("upstreams"),
             DeleteCommand("upstreams"),
             UpstreamDrain(),
+            UpstreamSet(),
+            UpstreamStatus(),
         ),
         Group("vm", "VMs that run the daemon.").subcommands(VmDrain(), VmFence()),
         Group("config", "The configuration that VMs hold.").subcommands(ConfigVersions()),
--- a/ctl/src/test/kotlin/fireflyhinge/ctl/FireflyctlTest.kt
+++ b/ctl/src/test/kotlin/fireflyhinge/ctl/FireflyctlTest.kt
@@ -51,6 +51,12 @@
                 Case("key revoke w --key k", "DELETE /admin/v1/workspaces/w/keys/${Keys.hash("k")}", null),
                 Case("route apply r --set kind=MODEL", "PUT /admin/v1/routes/r", """{"kind":"MODEL"}"""),
                 Case("upstream drain u", "POST /admin/v1/upstreams/u/drain?leaving=true", null),
+                Case(
+                    "upstream set u --role prefill --models a --model-version 1.1 --clear adapters --expect-version=7",
+                    "PATCH /admin/v1/upstreams/u?expected_version=7",
+                    """{"role":"PREFILL","models":["a"],"modelVersion":"1.1","adapters":null}""",
+                ),
+                Case("upstream set u --models=", "PATCH /admin/v1/upstreams/u", """{"models":[]}"""),
                 Case("vm drain v --undo", "POST /admin/v1/vms/v/drain?draining=false", null),
                 Case("vm fence v", "POST /admin/v1/vms/v/fence?force=false", null),
             )
@@ -77,7 +83,8 @@
             assertEquals(exit, result.statusCode, code)
             assertTrue("$code why" in result.stderr, result.stderr)
         }
-        val usage = listOf("workspace create w", "key revoke w", "nonsense", "upstream drain u --wait=3", "--x")
+        val absent = listOf("workspace create w", "upstream set u", "key revoke w")
+        val usage = absent + listOf("nonsense", "upstream drain u --wait=3", "--x")
         usage.forEach { assertEquals(EXIT_USAGE, execute("--server $server --token secret $it".split(' ')), it) }
         assertEquals(EXIT_USAGE, execute(listOf("--token", "secret", "status")), "no server")
         assertEquals(0, execute(listOf("--help")))
@@ -111,6 +118,26 @@
         assertTrue("slow (UNRESPONSIVE)" in late.stderr, late.stderr)
     }
 
+    /** Guards against a status that leaves out the state, the progress or the last refusal of an engine. */
+    @Test
+    fun upstreamStatusShowsStateAndProgress() {
+        val desired = """{"role":"DECODE","models":["b"],"adapters":null,"modelVersion":null}"""
+        val progress =
+            """{"phase":"ORDERED","reported":{"role":"DECODE","models":["a"]},"owner":"vm-2","token":77,""" +
+                """"order":"load_model b","lastRefusal":"load_model b: no memory","refusalAgeMillis":5}"""
+        val text = """[{"name":"u","version":3,"desired":$desired,"progress":$progress}]"""
+        answer(text)
+        val shown = run("upstream status u").stdout
+        assertEquals("GET /admin/v1/orders?upstream=u", call(daemon.takeRequest()))
+        val parts =
+            listOf("ORDERED", "models=[b]", "models=[a]", "load_model b (token 77)", "no memory (5 ms ago)", "vm-2")
+        parts.forEach { assertTrue(it in shown, "$it is absent from $shown") }
+        answer("""[{"name":"u","version":3,"desired":$desired,"progress":null}]""")
+        assertTrue("NO_OWNER" in run("upstream status").stdout)
+        answer(text)
+        assertEquals(Json.mapper.readTree(text), Json.mapper.readTree(run("--json upstream status").stdout))
+    }
+
     /** Guards against a key that travels to the daemon, or that is not shown to the operator. */
     @Test
     fun onlyTheHashOfANewKeyIsSent() {
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/DaemonParts.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/DaemonParts.kt
@@ -69,7 +69,7 @@
     private val repairs = Executors.newSingleThreadScheduledExecutor(DaemonThreads("claim-repair"))
     val services =
         ServicePipeline(ServicePorts(ports, store, OkHttpServiceClient(), ClaimRepair(store, repairs), budgets))
-    val admin = AdminApi(store, config, gossip, peers, ::setDraining)
+    val admin = AdminApi(store, config, gossip, peers, ::setDraining, orderStatus = { cells.orderStatus })
 
     /** Messages that this daemon serves to its peers. */
     val endpoints: List<PeerEndpoint<*>> =
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/admin/AdminApi.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/admin/AdminApi.kt
@@ -3,6 +3,7 @@
 import fireflyhinge.config.ConfigKinds
 import fireflyhinge.daemon.config.ConfigService
 import fireflyhinge.membership.Membership
+import fireflyhinge.order.ReplicaOrderStatus
 import fireflyhinge.peer.PeerTransport
 import fireflyhinge.result.Outcome
 import fireflyhinge.store.Store
@@ -11,6 +12,7 @@
  * All operations of the admin API.
  *
  * @param setDraining begins or ends draining of this VM.
+ * @param orderStatus progress of the replicas in this daemon's cells.
  */
 class AdminApi(
     store: Store,
@@ -18,6 +20,7 @@
     membership: Membership,
     peers: PeerTransport,
     setDraining: (Boolean) -> Unit,
+    orderStatus: () -> List<ReplicaOrderStatus> = { emptyList() },
 ) {
     private val held = { config.copy }
     private val writer = ObjectWriter(store) { config.offer(listOf(it)) }
@@ -43,6 +46,9 @@
     /** The fleet. */
     val fleet = FleetAdmin(membership, config, peers)
 
+    /** Desired states of upstreams. */
+    val orders = OrderAdmin(upstreams, held, FleetOrders(membership, peers, orderStatus))
+
     /** Marks upstream [name] as leaving or, if [leaving] is false, puts it back into service. */
     fun drainUpstream(name: String, leaving: Boolean, options: ChangeOptions): Outcome<Change> =
         upstreams.edit(name, options) { it.put("leaving", leaving) }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/admin/AdminRoutes.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/admin/AdminRoutes.kt
@@ -15,6 +15,7 @@
         }
         registerWorkspaces(routes)
         registerVms(routes)
+        registerUpstreams(routes)
         routes.get("$ROOT/status") { guarded(it) { Outcome.Success(api.fleet.status()) } }
         routes.get("$ROOT/versions") { guarded(it, ::versions) }
     }
@@ -44,9 +45,14 @@
         routes.post("$ROOT/vms/{name}/fence") {
             guarded(it) { call -> api.vms.fence(call.name, call.flag("force", default = false), call.options) }
         }
+    }
+
+    private fun registerUpstreams(routes: RoutesConfig) {
         routes.post("$ROOT/upstreams/{name}/drain") {
             guarded(it) { call -> api.drainUpstream(call.name, call.flag("leaving"), call.options) }
         }
+        routes.patch("$ROOT/upstreams/{name}") { guarded(it) { call -> call.change(api.orders::set) } }
+        routes.get("$ROOT/orders") { guarded(it) { call -> api.orders.status(call.query("upstream")) } }
     }
 
     private fun grant(call: AdminCall): Outcome<GrantedKey> =
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/cell/CellRuntime.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/CellRuntime.kt
@@ -32,6 +32,9 @@
 ) {
     private val lock = ReentrantLock()
     private val cell = Cell(epoch = epoch, startedAt = clock.millis(), settings = settings)
+
+    /** The cell's replicas for orders to their engines. */
+    val replicas = CellReplicaAccess(lock, cell.holds, clock)
     private val waiters = HashMap<String, CompletableFuture<PlaceReply>>()
     private var retired = false
 
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/cell/CellService.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/CellService.kt
@@ -1,9 +1,12 @@
 package fireflyhinge.daemon.cell
 
 import fireflyhinge.config.ConfigSource
+import fireflyhinge.daemon.order.OrderLoop
+import fireflyhinge.daemon.order.OrderSender
 import fireflyhinge.engine.EngineClient
 import fireflyhinge.lease.ShardOwnership
 import fireflyhinge.membership.Membership
+import fireflyhinge.order.ReplicaOrderStatus
 import fireflyhinge.peer.PeerEndpoint
 import fireflyhinge.peer.PlaceReply
 import fireflyhinge.peer.PlaceRequest
@@ -31,23 +34,32 @@
     private val plans = CellPlans(config)
     private val cells = ActingCells(ownership, plans, self, clock, settings)
     private val loops = CellLoops(cells, engines, clock)
+    private val orders = OrderLoop({ cells.all }, OrderSender(engines, ownership, clock), self.id)
 
     /** Handlers to serve on the control API. */
     fun endpoints(): List<PeerEndpoint<*>> =
         listOf(
             PeerEndpoint(path = PLACE_PATH, type = PlaceRequest::class.java, handle = ::place),
             PeerEndpoint(path = TICKETS_PATH, type = TicketBatch::class.java, handle = ::tickets),
+            orders.endpoint,
         )
 
     /** Starts the loops that place waiting requests and read the engines. */
-    fun start() = loops.start()
+    fun start() {
+        loops.start()
+        orders.start()
+    }
 
     /** Stops the loops and sends waiting askers away. */
     override fun close() {
+        orders.close()
         loops.close()
         cells.retireAll()
     }
 
+    /** Progress of the replicas in this daemon's cells towards their desired states. */
+    val orderStatus: List<ReplicaOrderStatus> get() = orders.status
+
     /** Whether this daemon may act for [cell] of its own region now. */
     internal fun acts(cell: CellKey): Boolean = cells.acting(cell) != null
 
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/engine/EngineCalls.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/engine/EngineCalls.kt
@@ -16,9 +16,17 @@
 internal class EngineCalls(private val http: OutboundHttp) {
     fun url(address: String, path: String): HttpUrl = "http://$address/$path".toHttpUrl()
 
-    /** Sends [body] at most once. */
-    fun <T> post(url: HttpUrl, body: Any, timeoutMillis: Long, decode: (String) -> T): EngineResult<T> =
-        EngineReplies.resultOf(http.exchange(postOf(url, body), timeoutMillis, idempotent = false), decode)
+    /** Sends [body] at most once, and not at all if [permitted] is false when the connection is open. */
+    fun <T> post(
+        url: HttpUrl,
+        body: Any,
+        timeoutMillis: Long,
+        permitted: () -> Boolean = { true },
+        decode: (String) -> T,
+    ): EngineResult<T> {
+        val exchange = http.exchange(postOf(url, body), timeoutMillis, idempotent = false, permitted = permitted)
+        return EngineReplies.resultOf(exchange, decode)
+    }
 
     /** Sends [request] and, if no answer came, once more on a new connection. */
     fun <T> repeatable(request: Request, timeoutMillis: Long, decode: (String) -> T): EngineResult<T> =
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/engine/HttpEngineClient.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/engine/HttpEngineClient.kt
@@ -15,6 +15,7 @@
 import fireflyhinge.engine.ImportRequest
 import fireflyhinge.engine.PrefillRequest
 import fireflyhinge.engine.PrefillResult
+import fireflyhinge.order.OrderMargin
 import okhttp3.Request
 
 /**
@@ -22,7 +23,7 @@
  * are tried once more on a new connection. After a decode that broke or that its callback stopped, the engine may hold
  * the request until [cancel].
  *
- * @param reportMillis limit of one attempt of a cancel, a report or an order.
+ * @param reportMillis limit of one attempt of a cancel or a report.
  */
 class HttpEngineClient(http: OutboundHttp, private val reportMillis: Long = 1_000) : EngineClient {
     private val calls = EngineCalls(http)
@@ -66,8 +67,10 @@
     override fun held(address: String): EngineResult<List<HeldRequest>> =
         get(address, "v1/requests") { Json.mapper.readValue(it) }
 
-    override fun order(address: String, order: EngineOrder): EngineResult<Unit> =
-        calls.post(url = calls.url(address, "v1/orders"), body = order, timeoutMillis = reportMillis) { }
+    override fun order(address: String, order: EngineOrder, permitted: () -> Boolean): EngineResult<Unit> {
+        val url = calls.url(address, "v1/orders")
+        return calls.post(url, body = order, timeoutMillis = OrderMargin.ORDER_MILLIS, permitted = permitted) { }
+    }
 
     private fun <T> get(address: String, path: String, decode: (String) -> T): EngineResult<T> =
         calls.repeatable(Request.Builder().url(calls.url(address, path)).build(), reportMillis, decode)
--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/lease/HeldLeases.kt
@@ -0,0 +1,17 @@
+package fireflyhinge.daemon.lease
+
+import fireflyhinge.lease.ActingLease
+import fireflyhinge.lease.ShardLeases
+
+/** The leases of the running process. */
+internal class HeldLeases(
+    private val mapRead: () -> Long?,
+    private val refresh: () -> Unit,
+    private val lease: (Int) -> ActingLease?,
+) : ShardLeases {
+    override val mapReadAt: Long? get() = mapRead()
+
+    override fun of(shard: Int): ActingLease? = lease(shard)
+
+    override fun readMap() = refresh()
+}
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/lease/MapKeeper.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/lease/MapKeeper.kt
@@ -21,6 +21,11 @@
     @Volatile
     var refreshWanted = true
 
+    /** When the last complete read began, in nanoseconds of [clock], or null if there was none. */
+    @Volatile
+    var lastRead: Long? = null
+        private set
+
     /** One pass; runs in the store thread. */
     fun pass(view: RegionView) {
         if (waits(failedAt)) return
@@ -35,10 +40,12 @@
 
     private fun readMaps() {
         readAt = clock.millis()
+        val began = clock.nanos()
         val all = store.list()
         if (all !is StoreResult.Ok) return failed()
         refreshWanted = false
         all.value.forEach(learn)
+        lastRead = began
     }
 
     private fun writeMap(view: RegionView) {
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/lease/ShardService.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/lease/ShardService.kt
@@ -3,6 +3,7 @@
 import fireflyhinge.lease.LeaseBook
 import fireflyhinge.lease.LeasePayload
 import fireflyhinge.lease.ShardHash
+import fireflyhinge.lease.ShardLeases
 import fireflyhinge.lease.ShardOwnership
 import fireflyhinge.lease.process
 import fireflyhinge.membership.Membership
@@ -58,6 +59,13 @@
     /** Newest known shard map objects of all regions, for gossip. */
     val mapObjects: List<StoredObject> get() = maps.objects
 
+    override val leases: ShardLeases =
+        HeldLeases(
+            mapRead = { keeper.lastRead },
+            refresh = ::refresh,
+            lease = { shard -> if (stopped) null else book.use { now -> leases.of(shard, now) } },
+        )
+
     override val regions: Set<String> get() = maps.regions
 
     override val actingShards: List<Int> get() = (0 until settings.shardCount).filter { actingEpoch(it) != null }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/OutboundHttp.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/OutboundHttp.kt
@@ -37,11 +37,17 @@
 
     /**
      * Sends [request] and waits for the whole answer, at most [timeoutMillis], or twice as long if it is [idempotent]
-     * and the first attempt was sent and not answered.
+     * and the first attempt was sent and not answered. [permitted] is asked just before the first byte is sent.
      */
-    internal fun exchange(request: Request, timeoutMillis: Long, idempotent: Boolean): Exchange {
+    internal fun exchange(
+        request: Request,
+        timeoutMillis: Long,
+        idempotent: Boolean,
+        permitted: () -> Boolean = { true },
+    ): Exchange {
         val start = System.nanoTime()
-        val first = attempt(request, timeoutMillis, SendMark(checkConnection = !idempotent), newConnection = false)
+        val mark = SendMark(checkConnection = !idempotent, permitted = permitted)
+        val first = attempt(request, timeoutMillis, mark, newConnection = false)
         val left = timeoutMillis - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start)
         val secondLimit =
             when {
@@ -50,7 +56,8 @@
                 else -> 0
             }
         if (secondLimit <= 0) return first
-        return attempt(request, secondLimit, SendMark(checkConnection = false), newConnection = true)
+        val second = SendMark(checkConnection = false, permitted = permitted)
+        return attempt(request, secondLimit, second, newConnection = true)
     }
 
     private fun attempt(request: Request, timeoutMillis: Long, mark: SendMark, newConnection: Boolean): Exchange {
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/SendMarker.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/SendMarker.kt
@@ -20,6 +20,7 @@
             socket.close()
             throw IOException("the server had closed the idle connection")
         }
+        if (!mark.permitted()) throw IOException("the request may not be sent any more")
         mark.sent = true
     }
 }
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/engine/HttpEngineClientTest.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/engine/HttpEngineClientTest.kt
@@ -3,8 +3,10 @@
 import fireflyhinge.engine.ChatMessage
 import fireflyhinge.engine.DecodeEvent
 import fireflyhinge.engine.EngineFailure
+import fireflyhinge.engine.EngineLoad
 import fireflyhinge.engine.EngineOrder
 import fireflyhinge.engine.EngineResult
+import fireflyhinge.engine.OrderState
 import fireflyhinge.standin.engine.EngineSettings
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertInstanceOf
@@ -234,6 +236,37 @@
         }
     }
 
+    /** Guards against an order that is sent though its right ended while the connection was opened (P12). */
+    @Test
+    fun anOrderThatIsNotPermittedIsNotSent() =
+        EngineFixture().use { f ->
+            val order = EngineOrder(fence = 1, action = "version", argument = "2")
+            val result = f.client.order(f.decode.address, order) { false }
+            assertInstanceOf(EngineFailure.Unreachable::class.java, result.failure())
+            assertEquals(emptyList<Any>(), f.decode.orders + f.decode.received.list())
+        }
+
+    /** Guards against a load whose progress or failure does not reach the owner, and against two orders at once. */
+    @Test
+    fun theReportShowsStateAndProgressOfOrders() =
+        EngineFixture(change = { it.copy(orderLoadMillis = 300, loadLagMillis = 0) }).use { f ->
+            val address = f.decode.address
+            fun give(fence: Long, model: String) = f.client.order(address, EngineOrder(fence, "load_model", model))
+            fun awaitState(state: OrderState): EngineLoad {
+                var load = f.client.load(address).value()
+                while (load.order?.state != state) load = f.client.load(address).value()
+                return load
+            }
+            give(1, "a").value()
+            assertEquals(emptySet<String>(), awaitState(OrderState.RUNNING).models)
+            assertEquals(409, (give(2, "b").failure() as EngineFailure.Refused).status)
+            assertEquals(setOf("a"), awaitState(OrderState.DONE).models)
+            f.decode.faults.failLoads = setOf("b")
+            give(3, "b").value()
+            val failed = awaitState(OrderState.FAILED)
+            assertEquals(setOf("a") to 3L, failed.models to failed.order?.fence)
+        }
+
     /** Guards against a caller's key that reaches an engine (P6), and against a lost trace context. */
     @Test
     fun engineReceivesTraceContextAndNoOtherCallerHeader() {
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/fake/FakeEngines.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/fake/FakeEngines.kt
@@ -79,7 +79,8 @@
 
     override fun held(address: String): EngineResult<List<HeldRequest>> = EngineResult.Ok(emptyList())
 
-    override fun order(address: String, order: EngineOrder): EngineResult<Unit> = EngineResult.Ok(Unit)
+    override fun order(address: String, order: EngineOrder, permitted: () -> Boolean): EngineResult<Unit> =
+        EngineResult.Ok(Unit)
 
     private fun <T> interruptible(block: () -> EngineResult<T>): EngineResult<T> =
         try {
--- a/standin/src/main/kotlin/fireflyhinge/standin/Standin.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/Standin.kt
@@ -66,7 +66,8 @@
 private const val ENGINE_ARGUMENTS =
     "listen role models slots prefill-us-per-token decode-step-us decode-step-growth-us block-tokens " +
         "cache-blocks kv-expiry-ms kv-bytes-per-token link-mb-per-s load-lag-ms event-lag-ms event-loss-percent " +
-        "checks-fence cancel-on-disconnect-prefill cancel-on-disconnect-decode exit-on-crash poison"
+        "checks-fence cancel-on-disconnect-prefill cancel-on-disconnect-decode exit-on-crash poison " +
+        "version order-load-ms"
 
 private fun engineSettings(arguments: Arguments): EngineSettings {
     val d = EngineSettings(role = UpstreamRole.valueOf(arguments.text("role", "prefill").uppercase()))
@@ -84,6 +85,8 @@
         loadLagMillis = arguments.long("load-lag-ms", d.loadLagMillis),
         eventLagMillis = arguments.long("event-lag-ms", d.eventLagMillis),
         eventLossPercent = arguments.int("event-loss-percent", d.eventLossPercent),
+        version = arguments.text("version", "").ifEmpty { null },
+        orderLoadMillis = arguments.long("order-load-ms", d.orderLoadMillis),
         checksFence = arguments.flag("checks-fence", d.checksFence),
         cancelOnDisconnectPrefill = arguments.flag("cancel-on-disconnect-prefill", d.cancelOnDisconnectPrefill),
         cancelOnDisconnectDecode = arguments.flag("cancel-on-disconnect-decode", d.cancelOnDisconnectDecode),
--- a/standin/src/main/kotlin/fireflyhinge/standin/engine/Engine.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/engine/Engine.kt
@@ -9,7 +9,12 @@
 import java.util.concurrent.TimeUnit
 
 /** The state of an engine that a crash loses. */
-internal class Engine(val settings: EngineSettings, val incarnation: Long, counts: CallCounts) : AutoCloseable {
+internal class Engine(
+    val settings: EngineSettings,
+    val incarnation: Long,
+    faults: EngineFaults,
+    counts: CallCounts,
+) : AutoCloseable {
     @Volatile var dead: Boolean = false
         private set
 
@@ -19,7 +24,7 @@
     val link = TransferLink(settings.linkMegabytesPerSecond)
     val memory = KvMemory { counts.add(kind = "expired_tokens", amount = it.content.promptTokens.toLong()) }
     val decodes = DecodeSlots(limit = settings.slots)
-    val orders = OrderBook(settings)
+    val orders = OrderBook(settings, faults)
 
     init {
         DecodeBatch(settings, decodes) { counts.add(kind = "tokens", amount = it.toLong()) }
@@ -50,11 +55,18 @@
     /** The load at this moment. */
     fun load(): EngineLoad {
         val jobs = prefills.jobs()
+        // Read first: it ends an order whose time is over, which changes the state.
+        val order = orders.progress()
         return EngineLoad(
             incarnation = incarnation,
             running = if (orders.role == UpstreamRole.PREFILL) jobs.size else decodes.all().size,
             queuedPrefillTokens = jobs.sumOf { it.tokens.toLong() },
             slots = settings.slots,
+            role = orders.role,
+            models = orders.models,
+            adapters = orders.adapters,
+            version = orders.version,
+            order = order,
         )
     }
 
--- a/standin/src/main/kotlin/fireflyhinge/standin/engine/EngineControl.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/engine/EngineControl.kt
@@ -16,6 +16,9 @@
         change(routes, "/control/poison") { ctx ->
             host.faults.poison = ctx.decodeBody<JsonNode>()["words"].map { it.asText() }.toSet()
         }
+        change(routes, "/control/fail-loads") { ctx ->
+            host.faults.failLoads = ctx.decodeBody<JsonNode>()["names"].map { it.asText() }.toSet()
+        }
         change(routes, "/control/stall-transfers") { host.faults.stallTransfers = isOn(it) }
         change(routes, "/control/cross-events") { host.faults.crossEvents = isOn(it) }
         change(routes, "/control/refuse") { host.faults.refuse = isOn(it) }
--- a/standin/src/main/kotlin/fireflyhinge/standin/engine/EngineFaults.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/engine/EngineFaults.kt
@@ -14,6 +14,9 @@
     /** Whether decode streams also carry events of other attempts and repeat earlier tokens. */
     @Volatile var crossEvents: Boolean = false
 
+    /** Models, adapters and versions whose loading fails. */
+    @Volatile var failLoads: Set<String> = emptySet()
+
     /** Whether the load report says that the engine is leaving. */
     @Volatile var leaving: Boolean = false
 }
--- a/standin/src/main/kotlin/fireflyhinge/standin/engine/EngineHost.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/engine/EngineHost.kt
@@ -19,7 +19,7 @@
     private val sampler =
         Executors.newSingleThreadScheduledExecutor { Thread(it, "load-sampler").apply { isDaemon = true } }
 
-    @Volatile var engine = Engine(settings = settings, incarnation = System.currentTimeMillis(), counts = counts)
+    @Volatile var engine = newEngine(System.currentTimeMillis())
         private set
 
     @Volatile private var reports = reportsOf(engine)
@@ -38,11 +38,13 @@
         val old = engine
         val incarnation = maxOf(old.incarnation + 1, System.currentTimeMillis())
         crashed.cut()
-        engine = Engine(settings = settings, incarnation = incarnation, counts = counts)
+        engine = newEngine(incarnation)
         reports = reportsOf(engine)
         old.close()
     }
 
+    private fun newEngine(incarnation: Long) = Engine(settings, incarnation, faults = faults, counts = counts)
+
     private fun reportsOf(engine: Engine) = Lagging(lagMillis = settings.loadLagMillis, initial = engine.load())
 
     override fun close() {
--- a/standin/src/main/kotlin/fireflyhinge/standin/engine/EngineRoutes.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/engine/EngineRoutes.kt
@@ -67,9 +67,7 @@
     private fun order(ctx: Context) {
         host.counts.add("order")
         val order = ctx.decodeBody<EngineOrder>()
-        if (!host.engine.orders.give(order)) {
-            return ctx.refuse(status = 412, reason = "fence ${order.fence} is older than an accepted one")
-        }
+        host.engine.orders.give(order)?.let { return ctx.refuse(status = it.status, reason = it.reason) }
         ctx.done()
     }
 }
--- a/standin/src/main/kotlin/fireflyhinge/standin/engine/EngineSettings.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/engine/EngineSettings.kt
@@ -18,6 +18,8 @@
  * @property loadLagMillis age of the load report.
  * @property eventLagMillis time until a cache event is published.
  * @property eventLossPercent cache events that are never published.
+ * @property version version of the weights at the start, or null for none.
+ * @property orderLoadMillis time that an order which loads weights takes.
  * @property checksFence whether orders with an old fencing number are refused.
  * @property cancelOnDisconnectPrefill whether a broken connection frees a prefill.
  * @property cancelOnDisconnectDecode whether a broken connection frees a decode request.
@@ -38,6 +40,8 @@
     val loadLagMillis: Long = 200,
     val eventLagMillis: Long = 500,
     val eventLossPercent: Int = 5,
+    val version: String? = null,
+    val orderLoadMillis: Long = 0,
     val checksFence: Boolean = true,
     val cancelOnDisconnectPrefill: Boolean = true,
     val cancelOnDisconnectDecode: Boolean = false,
--- a/system-test/src/test/kotlin/fireflyhinge/systemtest/HeldCapacityTest.kt
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/HeldCapacityTest.kt
@@ -17,6 +17,7 @@
 class HeldCapacityTest {
     // Batch priority, because a long prefill and a full pool exceed the first-token target of interactive requests.
     private val workspace = WorkspaceSpec("klerki", rate = 1e6, burst = 1e7, priority = Priority.BATCH)
+
     @RegisterExtension
     @JvmField
     internal val running =
--- a/system-test/src/test/kotlin/fireflyhinge/systemtest/KeyFaultTest.kt
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/KeyFaultTest.kt
@@ -15,6 +15,7 @@
 @TestMethodOrder(MethodOrderer.OrderAnnotation::class)
 class KeyFaultTest {
     private val workspaces = listOf("lauki", "klerki", "graudi").map { WorkspaceSpec(it, rate = 1e6, burst = 1e7) }
+
     @RegisterExtension
     @JvmField
     internal val running =
--- a/system-test/src/test/kotlin/fireflyhinge/systemtest/QuotaFaultTest.kt
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/QuotaFaultTest.kt
@@ -15,6 +15,7 @@
 class QuotaFaultTest {
     private val steady = WorkspaceSpec("graudi", rate = RATE, burst = BURST)
     private val greedy = WorkspaceSpec("klerki", rate = RATE, burst = BURST)
+
     @RegisterExtension
     @JvmField
     internal val running = FleetExtension(TestFleets.small(vms = 5, workspaces = listOf(steady, greedy)))
