--- a/daemon/src/test/kotlin/fireflyhinge/daemon/engine/HttpEngineClientTest.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/engine/HttpEngineClientTest.kt
@@ -246,6 +246,20 @@
             assertEquals(emptyList<Any>(), f.decode.orders + f.decode.received.list())
         }
 
+    /** Guards against an order that is still under way when the margin of the lease has passed (P12). */
+    @Test
+    fun anOrderWithoutAnAnswerIsAbandonedAfterASecond() =
+        EngineFixture().use { f ->
+            f.client.load(f.decode.address).value()
+            f.decode.silenceOpenConnections()
+            val start = System.nanoTime()
+            val order = EngineOrder(fence = 1, action = "version", argument = "2")
+            assertInstanceOf(EngineFailure.Broken::class.java, f.client.order(f.decode.address, order).failure())
+            val millis = (System.nanoTime() - start) / 1_000_000
+            assertTrue(millis < 1_400, "abandoned after $millis ms")
+            assertEquals(emptyList<EngineOrder>(), f.decode.orders)
+        }
+
     /** Guards against a load whose progress or failure does not reach the owner, and against two orders at once. */
     @Test
     fun theReportShowsStateAndProgressOfOrders() =
