List a decode replica as soon as one of its tickets expires

Cause: after a daemon was killed its tickets expire 10 s after their last renewal, and the engine's list that cancels the requests came up to 5.5 s later (a 5 s interval that is checked every 500 ms). That leaves 0.5 s of the bound of 16 s, and keeps the slots of the killed daemon taken for as long.

Change: a cell names the decode replicas that may hold requests of expired tickets, and the poll of such a replica lists it every 500 ms until they are gone.

Not fixed by it: HeldCapacityTest#requestsOfAKilledDaemonAreFreedAndOthersComplete.

--- a/core/src/main/kotlin/fireflyhinge/schedule/Cell.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/Cell.kt
@@ -34,6 +34,9 @@
     /** Whether requests wait for a placement. */
     val waiting: Boolean get() = !queue.isEmpty
 
+    /** Replicas to list at once, because they may hold requests of expired tickets. */
+    val lapsed: Set<String> get() = replicas.decode.filter { it.holdsLapsed }.mapTo(HashSet()) { it.name }
+
     /** Takes a new configuration: the replicas of the cell and the weight of each workspace relative to the others. */
     fun configure(upstreams: List<Upstream>, weights: Map<String, Double>) {
         this.weights = weights
--- a/core/src/main/kotlin/fireflyhinge/schedule/DecodeReplica.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/DecodeReplica.kt
@@ -10,6 +10,10 @@
 
     /** Requests that the engine holds without a live ticket of this cell; each takes a slot until it is gone. */
     private val foreign = mutableSetOf<EngineRequestId>()
+    private val lapsed = mutableSetOf<EngineRequestId>()
+
+    /** Whether the engine may still hold requests of expired tickets. */
+    val holdsLapsed: Boolean get() = lapsed.isNotEmpty()
 
     /** Time per token as reported by holders. */
     val step = MovingAverage(settings.initialStepMillis)
@@ -43,18 +47,21 @@
     fun lapse(ticket: Ticket) {
         release(ticket)
         foreign += ticket.engineId
+        lapsed += ticket.engineId
     }
 
     /** Replaces the requests without a live ticket by those of a new list. */
     fun list(withoutTicket: Set<EngineRequestId>) {
         foreign.clear()
         foreign += withoutTicket
+        lapsed.retainAll(withoutTicket)
         listed = true
     }
 
     /** Records that the engine dropped [id]. */
     fun dropped(id: EngineRequestId) {
         foreign -= id
+        lapsed -= id
     }
 
     /** Time at which a slot is free for one more request, or null if that cannot be predicted. */
@@ -66,7 +73,10 @@
             .getOrNull(endsNeeded - 1)
     }
 
-    override fun onRestart() = foreign.clear()
+    override fun onRestart() {
+        foreign.clear()
+        lapsed.clear()
+    }
 
     override fun onReport(newLoad: EngineLoad, now: Long) = Unit
 
--- a/core/src/test/kotlin/fireflyhinge/schedule/CellTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/schedule/CellTest.kt
@@ -62,12 +62,15 @@
         val end = OPEN + 9_950 + 10_000
         cell.pumpUntil(OPEN + 9_900, end + 100)
         assertFalse(cell.update(report(first, placed), end + 100))
+        assertEquals(setOf(placed.decodeReplica), cell.lapsed, "replicas to list at once")
         val batch = request("2", priority = Priority.BATCH)
         assertNull(cell.place(batch, end + 100))
         val orphans = cell.held(placed.decodeReplica, listOf(held(first)), end + 200)
         assertEquals(listOf("1"), orphans.map { it.id.request })
         assertNull(cell.pump(end + 200)[batch.ticketId()])
+        assertEquals(setOf(placed.decodeReplica), cell.lapsed)
         cell.cancelled(placed.decodeReplica, orphans.single().id)
+        assertEquals(emptySet<String>(), cell.lapsed)
         assertTrue(cell.pump(end + 200)[batch.ticketId()] is PlaceReply.Placed)
     }
 
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/cell/CellRuntime.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/CellRuntime.kt
@@ -35,6 +35,9 @@
     private val waiters = HashMap<String, CompletableFuture<PlaceReply>>()
     private var retired = false
 
+    /** Replicas to list at once, because they may hold requests of expired tickets. */
+    val lapsed: Set<String> get() = lock.withLock { cell.lapsed }
+
     /** Takes a new configuration. */
     fun configure(configuration: CellConfiguration) =
         lock.withLock { cell.configure(upstreams = configuration.upstreams, weights = configuration.weights) }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/cell/ReplicaPoller.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/ReplicaPoller.kt
@@ -24,7 +24,8 @@
         if (!running.compareAndSet(false, true)) return
         try {
             readLoad()
-            if (listedAt?.let { clock.millis() - it >= LIST_EVERY_MILLIS } != false) list()
+            val due = listedAt?.let { clock.millis() - it >= LIST_EVERY_MILLIS } != false
+            if (due || upstream.name in runtime.lapsed) list()
         } finally {
             running.set(false)
         }
