List a replica as soon as a request of an unknown ticket is overdue

Cause: a new owner of a cell gives unknown requests 10.1 s from its first list, but judged them only at the regular lists every 5 s, so it cancelled orphans 15.5 s after it began. When a cell moved (rebalancing of a fresh fleet) at the time a daemon died, its requests stayed longer than 16 s.

Change: the replicas to list at once include those with a request that has been unknown for 10.1 s.

The system test has not run with this change yet.

--- a/core/src/main/kotlin/fireflyhinge/schedule/Cell.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/Cell.kt
@@ -34,8 +34,9 @@
     /** Whether requests wait for a placement. */
     val waiting: Boolean get() = !queue.isEmpty
 
-    /** Replicas to list at once, because they may hold requests of expired tickets. */
-    val lapsed: Set<String> get() = replicas.decode.filter { it.holdsLapsed }.mapTo(HashSet()) { it.name }
+    /** Replicas to list at once, because they may hold requests that are to be cancelled. */
+    val overdue: Set<String>
+        get() = replicas.decode.filter { it.holdsLapsed }.map { it.name }.toSet() + orphans.overdue(expiredAt)
 
     /** Takes a new configuration: the replicas of the cell and the weight of each workspace relative to the others. */
     fun configure(upstreams: List<Upstream>, weights: Map<String, Double>) {
--- a/core/src/main/kotlin/fireflyhinge/schedule/OrphanWatch.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/OrphanWatch.kt
@@ -18,6 +18,10 @@
             .map { Cancellation(replica = replica.name, address = replica.upstream.address, id = it.id) }
     }
 
+    /** Replicas that were last listed with a request whose ticket has by now been unknown for too long. */
+    fun overdue(now: Long): Set<String> =
+        firstListed.filterValues { listed -> listed.values.any { isOverdue(it, now) } }.keys
+
     /** Starts all waits again, because renewals could not be received for a while. */
     fun restart() = firstListed.clear()
 
--- a/core/src/test/kotlin/fireflyhinge/schedule/CellTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/schedule/CellTest.kt
@@ -62,15 +62,15 @@
         val end = OPEN + 9_950 + 10_000
         cell.pumpUntil(OPEN + 9_900, end + 100)
         assertFalse(cell.update(report(first, placed), end + 100))
-        assertEquals(setOf(placed.decodeReplica), cell.lapsed, "replicas to list at once")
+        assertEquals(setOf(placed.decodeReplica), cell.overdue, "replicas to list at once")
         val batch = request("2", priority = Priority.BATCH)
         assertNull(cell.place(batch, end + 100))
         val orphans = cell.held(placed.decodeReplica, listOf(held(first)), end + 200)
         assertEquals(listOf("1"), orphans.map { it.id.request })
         assertNull(cell.pump(end + 200)[batch.ticketId()])
-        assertEquals(setOf(placed.decodeReplica), cell.lapsed)
+        assertEquals(setOf(placed.decodeReplica), cell.overdue)
         cell.cancelled(placed.decodeReplica, orphans.single().id)
-        assertEquals(emptySet<String>(), cell.lapsed)
+        assertEquals(emptySet<String>(), cell.overdue)
         assertTrue(cell.pump(end + 200)[batch.ticketId()] is PlaceReply.Placed)
     }
 
@@ -85,7 +85,11 @@
         val placed = PlaceReply.Placed("known/1", 1, "PREFILL-1", "", "DECODE-1", "")
         cell.pumpUntil(OPEN, OPEN + 9_000)
         assertTrue(cell.update(report(known, placed), OPEN + 9_000))
+        cell.pumpUntil(OPEN + 9_000, OPEN + 10_000)
         assertTrue(cell.held("DECODE-1", list, OPEN + 10_099).isEmpty())
+        assertEquals(emptySet<String>(), cell.overdue)
+        cell.pump(OPEN + 10_100)
+        assertEquals(setOf("DECODE-1"), cell.overdue, "replicas to list at once")
         assertEquals(listOf("unknown"), cell.held("DECODE-1", list, OPEN + 10_100).map { it.id.request })
     }
 
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/cell/CellRuntime.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/CellRuntime.kt
@@ -35,8 +35,8 @@
     private val waiters = HashMap<String, CompletableFuture<PlaceReply>>()
     private var retired = false
 
-    /** Replicas to list at once, because they may hold requests of expired tickets. */
-    val lapsed: Set<String> get() = lock.withLock { cell.lapsed }
+    /** Replicas to list at once, because they may hold requests that are to be cancelled. */
+    val overdue: Set<String> get() = lock.withLock { cell.overdue }
 
     /** Takes a new configuration. */
     fun configure(configuration: CellConfiguration) =
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/cell/ReplicaPoller.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/ReplicaPoller.kt
@@ -25,7 +25,7 @@
         try {
             readLoad()
             val due = listedAt?.let { clock.millis() - it >= LIST_EVERY_MILLIS } != false
-            if (due || upstream.name in runtime.lapsed) list()
+            if (due || upstream.name in runtime.overdue) list()
         } finally {
             running.set(false)
         }
