Free what a dead holder held as soon as its death is proven

Cause: an orphan was found only by its ticket, and every new owner of the cell waits 10.1 s before it cancels a request with an unknown ticket. When a VM dies, its shards are spread unevenly and evened out 5 s later.

Ruled out: lost cancellations (none was ever logged) and pauses of the owner (no gap in its log).

Change: a cell knows whether there is evidence that a holder's process is dead, the same evidence that a takeover uses. Tickets of such a holder end at once, its requests with unknown tickets are cancelled without the wait, and the replicas that hold them are listed at once. A holder that is merely slow is treated as before. Owners log when a cell starts and is given up.

Conclusion: the bound of 16 s stands for deaths without evidence.

--- a/core/src/main/kotlin/fireflyhinge/schedule/Cell.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/Cell.kt
@@ -4,6 +4,7 @@
 import fireflyhinge.engine.EngineLoad
 import fireflyhinge.engine.EngineRequestId
 import fireflyhinge.engine.HeldRequest
+import fireflyhinge.engine.Holder
 import fireflyhinge.peer.PlaceReply
 import fireflyhinge.peer.PlaceRequest
 import fireflyhinge.peer.TicketUpdate
@@ -11,17 +12,20 @@
 /**
  * Decisions of one cell under one epoch: who waits, who gets which slot, which requests at engines are orphans. It
  * starts without knowledge, as after a takeover. Not thread-safe; times are the owner's monotonic milliseconds.
+ *
+ * @param dead whether there is evidence that a holder's process can no longer run; what it held is freed at once.
  */
 class Cell(
     private val epoch: Long,
     startedAt: Long,
     private val settings: SchedulerSettings = SchedulerSettings(),
+    private val dead: (Holder) -> Boolean = { false },
 ) {
     private var weights: Map<String, Double> = emptyMap()
     private val replicas = CellReplicas(settings)
     private val queue = FairQueue(settings.classWeights) { maxOf(weights[it] ?: 1.0, MIN_WEIGHT) }
     private val book = TicketBook(settings)
-    private val orphans = OrphanWatch(settings, book)
+    private val orphans = OrphanWatch(settings, book, dead)
     private val rates = ServiceRates()
     private val retryAfterMillis = settings.firstTokenMillis
     private val withdrawn = mutableListOf<String>()
@@ -122,7 +126,7 @@
             orphans.restart()
         }
         expiredAt = now
-        book.expired(now).forEach { ticket ->
+        book.expired(now, dead).forEach { ticket ->
             book.end(ticket.id, TicketEnd.LAPSED, now)
             replicas.free(ticket, lapsed = true)
         }
--- a/core/src/main/kotlin/fireflyhinge/schedule/TicketBook.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/TicketBook.kt
@@ -1,5 +1,7 @@
 package fireflyhinge.schedule
 
+import fireflyhinge.engine.Holder
+
 /** The live tickets of a cell, and those that ended recently so that late messages about them are recognized. */
 internal class TicketBook(private val settings: SchedulerSettings) {
     private val live = LinkedHashMap<String, Ticket>()
@@ -26,8 +28,11 @@
         return live.remove(id)
     }
 
-    /** Tickets whose time is over at [now]. */
-    fun expired(now: Long): List<Ticket> = live.values.filter { it.expiresAt <= now }
+    /** Tickets whose time is over at [now], and those of holders that are [dead]. */
+    fun expired(now: Long, dead: (Holder) -> Boolean): List<Ticket> {
+        val ended = live.values.mapTo(HashSet()) { it.request.holder }.filterTo(HashSet(), dead)
+        return live.values.filter { it.expiresAt <= now || it.request.holder in ended }
+    }
 
     /** Gives all tickets their whole time again, because this process could not receive renewals for a while. */
     fun extendAll(now: Long) = live.values.forEach { it.expiresAt = now + settings.ticketMillis }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/cell/ActingCells.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/ActingCells.kt
@@ -1,20 +1,22 @@
 package fireflyhinge.daemon.cell
 
 import fireflyhinge.lease.ShardOwnership
-import fireflyhinge.membership.Member
+import fireflyhinge.membership.Membership
 import fireflyhinge.schedule.CellKey
 import fireflyhinge.schedule.SchedulerSettings
 import fireflyhinge.time.MonotonicClock
+import org.slf4j.LoggerFactory
 import java.util.concurrent.ConcurrentHashMap
 
 /** The cells that this daemon runs. A cell starts anew with each epoch. */
 internal class ActingCells(
     private val ownership: ShardOwnership,
     private val plans: CellPlans,
-    private val self: Member,
+    private val membership: Membership,
     private val clock: MonotonicClock,
     private val settings: SchedulerSettings,
 ) {
+    private val self = membership.self()
     private val region = self.region
     private val runtimes = ConcurrentHashMap<CellKey, CellRuntime>()
 
@@ -32,7 +34,7 @@
     fun reconcile() {
         val keys = plans.services(region).flatMapTo(HashSet()) { plans.plan(it, region).keys() }
         keys.forEach(::acting)
-        runtimes.keys.filter { it !in keys || ownedByOther(it) }.forEach { runtimes.remove(it)?.retire() }
+        runtimes.keys.filter { it !in keys || ownedByOther(it) }.forEach { runtimes.remove(it)?.let(::retire) }
     }
 
     /** What [key] takes from the present configuration. */
@@ -43,7 +45,7 @@
         )
 
     /** Retires all cells. */
-    fun retireAll() = runtimes.keys.toList().forEach { runtimes.remove(it)?.retire() }
+    fun retireAll() = runtimes.keys.toList().forEach { runtimes.remove(it)?.let(::retire) }
 
     private fun start(key: CellKey): CellRuntime? {
         var old: CellRuntime? = null
@@ -57,13 +59,27 @@
                     create(key, epoch)
                 }
             }
-        old?.retire()
+        old?.let(::retire)
         return started?.takeIf { it.epoch == epochOf(key) }
     }
 
     private fun create(key: CellKey, epoch: Long) =
-        CellRuntime(key, epoch, clock, settings, acting = { epochOf(key) == epoch })
-            .also { it.configure(configuration(key)) }
+        CellRuntime(
+            key,
+            epoch,
+            clock,
+            settings,
+            dead = { membership.provenDead(it.vm, it.incarnation) },
+            acting = { epochOf(key) == epoch },
+        ).also {
+            it.configure(configuration(key))
+            log.info("cell {} starts under epoch {}", key, epoch)
+        }
+
+    private fun retire(runtime: CellRuntime) {
+        runtime.retire()
+        log.info("cell {} under epoch {} is given up", runtime.key, runtime.epoch)
+    }
 
     private fun epochOf(key: CellKey): Long? = ownership.actingEpoch(ownership.shardOf(key.toString()))
 
@@ -78,4 +94,8 @@
         val mean = rates.values.average()
         return if (mean > 0) rates.mapValues { it.value / mean } else emptyMap()
     }
+
+    private companion object {
+        val log = LoggerFactory.getLogger(ActingCells::class.java)!!
+    }
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/cell/CellRuntime.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/CellRuntime.kt
@@ -3,6 +3,7 @@
 import fireflyhinge.engine.EngineLoad
 import fireflyhinge.engine.EngineRequestId
 import fireflyhinge.engine.HeldRequest
+import fireflyhinge.engine.Holder
 import fireflyhinge.peer.PlaceReply
 import fireflyhinge.peer.PlaceRequest
 import fireflyhinge.peer.TicketBatch
@@ -28,10 +29,11 @@
     val epoch: Long,
     private val clock: MonotonicClock,
     settings: SchedulerSettings,
+    dead: (Holder) -> Boolean = { false },
     private val acting: () -> Boolean,
 ) {
     private val lock = ReentrantLock()
-    private val cell = Cell(epoch = epoch, startedAt = clock.millis(), settings = settings)
+    private val cell = Cell(epoch = epoch, startedAt = clock.millis(), settings = settings, dead = dead)
 
     /** The cell's replicas for orders to their engines. */
     val replicas = CellReplicaAccess(lock, cell.holds, clock)
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/cell/CellService.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/cell/CellService.kt
@@ -32,7 +32,7 @@
     private val self = membership.self()
     private val region = self.region
     private val plans = CellPlans(config)
-    private val cells = ActingCells(ownership, plans, self, clock, settings)
+    private val cells = ActingCells(ownership, plans, membership, clock, settings)
     private val loops = CellLoops(cells, engines, clock)
     private val orders = OrderLoop({ cells.all }, OrderSender(engines, ownership, clock), self.id)
 
