Serve again after a partition only once the missed changes are read

Cause: a VM that was cut off stopped refusing keys as soon as it had heard from half of the others, which may be before the first comparison of the configuration.

Change: isolation ends only when a complete read of the configuration that began after the contact was lost has ended: lists of the store, a comparison with a peer that is not isolated, or comparisons with half of the other members. The loss is noticed before queued news is taken over, so a pause counts as well. A starting VM is isolated until its first read and opens its caller port after it.

Ruled out: ending isolation on an equal digest in gossip, since the peer may have been cut off too.

--- a/core/src/main/kotlin/fireflyhinge/membership/IsolationRule.kt
+++ b/core/src/main/kotlin/fireflyhinge/membership/IsolationRule.kt
@@ -1,11 +1,16 @@
 package fireflyhinge.membership
 
 /**
- * Tells when a VM must assume that it misses changes: for 10 s it has neither reached the store nor heard from at least
- * half of the other members. Times are milliseconds of the monotonic clock. Not thread-safe.
+ * Tells when a VM must assume that it misses changes: from its start, and whenever it has neither reached the store nor
+ * heard from at least half of the other members for 10 s, until it has read the configuration after that. Contact alone
+ * does not end it, because gossip may arrive before the changes that were missed. Times are milliseconds of the
+ * monotonic clock. Not thread-safe.
  */
 class IsolationRule(private val table: MemberTable, startedAt: Long) {
     private var storeReachedAt = startedAt
+    private var missingSince: Long? = startedAt - 1
+    private var checkedAt: Long? = null
+    private val compared = mutableSetOf<String>()
 
     /** The store answered a call. */
     fun onStoreReached(now: Long) {
@@ -13,23 +18,57 @@
     }
 
     /** Whether this VM must assume that it misses changes; a fenced VM always must. */
-    fun isolated(now: Long): Boolean =
-        table.provenDead(table.self.id, table.self.incarnation) ||
-            (now - storeReachedAt >= LIMIT_MILLIS && !heardEnough(now))
+    fun isolated(now: Long): Boolean {
+        check(now)
+        return missingSince != null || table.provenDead(table.self.id, table.self.incarnation)
+    }
+
+    /**
+     * Notices a loss of contact. It must run before news is taken over: after a pause the news that waited would hide
+     * that contact was lost.
+     */
+    fun check(now: Long) {
+        if (checkedAt?.let { now - it < CHECK_MILLIS } == true) return
+        checkedAt = now
+        if (now - storeReachedAt < LIMIT_MILLIS || heardEnough(now)) return
+        missingSince = now
+        compared.clear()
+    }
+
+    /** The whole configuration was read from the store, from [began] on. */
+    fun onStoreRead(began: Long) = caughtUp(began)
+
+    /**
+     * A comparison with [peer], from [began] on, left no difference. Peers that are not [current] count once they are
+     * half of the others: so many also count as contact, and after a partition of all VMs nobody is current.
+     */
+    fun onCompared(peer: String, current: Boolean, began: Long, now: Long) {
+        if (missingSince?.let { began <= it } != false) return
+        if (peer in table.records) compared += peer
+        if (current || 2 * compared.size >= sample(now).size) caughtUp(began)
+    }
 
     /** Whether at least half of the other members were heard from lately. Without other members it is true. */
-    fun heardEnough(now: Long): Boolean {
+    fun heardEnough(now: Long): Boolean =
+        sample(now).let { sample -> 2 * sample.count { it.heardWithin(LIMIT_MILLIS, now) } >= sample.size }
+
+    private fun caughtUp(began: Long) {
+        if (missingSince?.let { began > it } == true) missingSince = null
+    }
+
+    /** A large fleet does not spread every heartbeat to everyone; there the VMs tried lately stand for the others. */
+    private fun sample(now: Long): List<MemberRecord> {
         val others = table.records.values.filterNot { table.provenDead(it.member.id, it.member.incarnation) }
-        // A large fleet does not spread every heartbeat to everyone; there the VMs tried lately are the sample.
-        val sample =
-            others.filter {
-                others.size < MemberTable.FULL_LIMIT ||
-                    it.triedWithin(LIMIT_MILLIS, now) || it.heardWithin(LIMIT_MILLIS, now)
-            }
-        return 2 * sample.count { it.heardWithin(LIMIT_MILLIS, now) } >= sample.size
+        return others.filter {
+            others.size < MemberTable.FULL_LIMIT ||
+                it.triedWithin(LIMIT_MILLIS, now) || it.heardWithin(LIMIT_MILLIS, now)
+        }
     }
 
     private companion object {
         const val LIMIT_MILLIS = 10_000L
+
+        /** The check looks at all members, so it does not run with every message. */
+        const val CHECK_MILLIS = 100L
     }
 }
--- a/core/src/main/kotlin/fireflyhinge/membership/Membership.kt
+++ b/core/src/main/kotlin/fireflyhinge/membership/Membership.kt
@@ -11,7 +11,7 @@
     /** The VM with this [id], or null if it is not known. */
     fun member(id: String): Member? = members().find { it.id == id }
 
-    /** Whether this VM cannot confirm that its configuration is current. */
+    /** Whether this VM cannot confirm that its configuration is current. So it is until it has read it once. */
     fun isolated(): Boolean
 
     /** Whether there is evidence that the process of [vm] with [incarnation] (0 for any) can no longer run. */
--- a/core/src/test/kotlin/fireflyhinge/membership/MemberTableTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/membership/MemberTableTest.kt
@@ -201,6 +201,7 @@
             val news = MemberUpdates(fleet)
             val rule = IsolationRule(fleet, startedAt = now - case.storeSilent)
             repeat(7) { news.merge(vm("vm$it"), now = if (it < case.heard) now - 9_000 else 0) }
+            rule.onStoreRead(began = now)
             assertEquals(case.isolated, rule.isolated(now), "$case")
         }
     }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/Daemon.kt
@@ -41,6 +41,7 @@
         Runtime.getRuntime().addShutdownHook(Thread { stop() })
         controlHost.start()
         parts.start()
+        awaitConfiguration()
         callerHost.start()
         timer.scheduleWithFixedDelay(::everySecond, 1, 1, TimeUnit.SECONDS)
         val addresses = mapOf("listening" to settings.listen, "control" to settings.controlListen)
@@ -49,6 +50,11 @@
         stopped.await()
     }
 
+    /** Without the configuration every key would be refused as unknown; a closed port sends callers to another VM. */
+    private fun awaitConfiguration() {
+        while (!parts.config.ready() && !callerHost.draining) Thread.sleep(POLL_MILLIS)
+    }
+
     private fun app(routes: (JavalinConfig) -> Unit): Javalin = Javalin.create { routes(it) }
 
     private fun callerRoutes(config: JavalinConfig) {
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/config/ConfigLoop.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/config/ConfigLoop.kt
@@ -1,5 +1,6 @@
 package fireflyhinge.daemon.config
 
+import fireflyhinge.membership.CatchUp
 import fireflyhinge.membership.Membership
 import fireflyhinge.membership.WatchHolders
 import kotlin.concurrent.thread
@@ -10,11 +11,12 @@
     private val watch: StoreWatch,
     private val peers: ConfigPeers,
     private val membership: Membership,
+    private val catchUp: CatchUp,
 ) : AutoCloseable {
     @Volatile
     private var running = false
 
-    /** Whether the configuration was read once. */
+    /** Whether the configuration was read once and was current then. */
     @Volatile
     var loaded = false
         private set
@@ -31,14 +33,21 @@
 
     private fun run() {
         while (running) {
-            val answered = if (loaded) follow() else load()
-            if (!answered) Thread.sleep(settings.pollMillis)
+            val done = if (membership.isolated()) recover() else follow()
+            loaded = loaded || !membership.isolated()
+            if (!done) Thread.sleep(settings.pollMillis)
         }
     }
 
-    private fun load(): Boolean {
-        loaded = watch.list() || peers.compareWithAny()
-        return loaded
+    /** At the start the store comes first; later peers do, so that many VMs that return at once do not all read it. */
+    private fun recover(): Boolean {
+        if (loaded) peers.catchUp() || readStore() else readStore() || peers.compareWithAny()
+        return !membership.isolated()
+    }
+
+    private fun readStore(): Boolean {
+        val began = catchUp.begin()
+        return watch.list().also { if (it) catchUp.onStoreRead(began) }
     }
 
     private fun follow(): Boolean {
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/config/ConfigPeers.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/config/ConfigPeers.kt
@@ -3,6 +3,7 @@
 import fireflyhinge.config.ConfigAnswer
 import fireflyhinge.config.ConfigExchange
 import fireflyhinge.config.ConfigMessage
+import fireflyhinge.membership.CatchUp
 import fireflyhinge.membership.MemberState
 import fireflyhinge.membership.Membership
 import fireflyhinge.peer.PeerResult
@@ -19,6 +20,7 @@
     private val holder: ConfigHolder,
     private val membership: Membership,
     private val transport: PeerTransport,
+    private val catchUp: CatchUp,
     private val random: Random,
 ) : AutoCloseable {
     private val workers = Executors.newCachedThreadPool { Thread(it, "config-peer").apply { isDaemon = true } }
@@ -27,7 +29,7 @@
     /** Answers `POST /peer/v1/config`. */
     fun onMessage(message: ConfigMessage): ConfigAnswer {
         offer(message.objects)
-        return ConfigExchange.answer(holder.copy, message)
+        return ConfigExchange.answer(holder.copy, message).copy(current = !membership.isolated())
     }
 
     /** Merges [objects] and passes those that were new on to three random peers. */
@@ -52,18 +54,29 @@
         if (!accepted) comparing.remove(peer)
     }
 
-    /** Exchanges differences with [peer] (a VM id or a seed address); returns whether it answered to the end. */
+    /** Exchanges differences with [peer] (a VM id or a seed address); returns whether no difference was left. */
     fun compare(peer: String): Boolean {
+        val began = catchUp.begin()
         val from = membership.self().id
+        var current = true
         var next: ConfigMessage? = ConfigExchange.opening(holder.copy, from)
         repeat(ConfigExchange.MAX_MESSAGES) {
-            val answer = send(peer, next ?: return true) ?: return false
+            val answer = next?.let { send(peer, it) ?: return false } ?: return@repeat
             offer(answer.objects)
+            current = current && answer.current
             next = ConfigExchange.followUp(holder.copy, answer, from)
         }
-        return true
+        if (next == null) catchUp.onCompared(peer, current, began)
+        return next == null
     }
 
+    /** Compares with peers until this VM has caught up; returns whether it has. */
+    fun catchUp(): Boolean =
+        livePeers().shuffled(random).take(CATCH_UP_PEERS).any {
+            compare(it)
+            !membership.isolated()
+        }
+
     /** Reads the configuration from any peer or seed; returns whether one answered. */
     fun compareWithAny(): Boolean =
         (livePeers().shuffled(random).take(PUSH_PEERS) + settings.seeds.shuffled(random)).any(::compare)
@@ -102,5 +115,8 @@
         const val PATH = "/peer/v1/config"
 
         private const val PUSH_PEERS = 3
+
+        /** Bounds one attempt; in a small fleet it is everyone. */
+        private const val CATCH_UP_PEERS = 16
     }
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/config/ConfigService.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/config/ConfigService.kt
@@ -6,6 +6,7 @@
 import fireflyhinge.config.ConfigMessage
 import fireflyhinge.config.ConfigSnapshot
 import fireflyhinge.config.ConfigSource
+import fireflyhinge.membership.CatchUp
 import fireflyhinge.membership.Membership
 import fireflyhinge.peer.PeerEndpoint
 import fireflyhinge.peer.PeerTransport
@@ -22,13 +23,14 @@
     store: Store,
     transport: PeerTransport,
     membership: Membership,
+    catchUp: CatchUp,
     random: Random = Random.Default,
 ) : ConfigSource,
     ConfigDigestSource,
     AutoCloseable {
     private val holder = ConfigHolder()
-    private val peers = ConfigPeers(settings, holder, membership, transport, random)
-    private val loop = ConfigLoop(settings, StoreWatch(settings, store, peers::offer), peers, membership)
+    private val peers = ConfigPeers(settings, holder, membership, transport, catchUp, random)
+    private val loop = ConfigLoop(settings, StoreWatch(settings, store, peers::offer), peers, membership, catchUp)
 
     /** Handlers of `POST /peer/v1/config` and `POST /peer/v1/versions`. */
     val endpoints: List<PeerEndpoint<*>> =
@@ -43,7 +45,7 @@
     /** Starts the thread that loads the configuration and then follows the store. */
     fun start() = loop.start()
 
-    /** Whether the configuration was read once, from the store or from a peer. */
+    /** Whether the configuration was read once, from the store or from a peer that held all of it. */
     fun ready(): Boolean = loop.loaded
 
     override fun current(): ConfigSnapshot = holder.copy.snapshot
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/membership/GossipService.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/membership/GossipService.kt
@@ -57,7 +57,7 @@
 
     override fun member(id: String): Member? = state.read { table, now -> table.view(id, now) }?.let(::withIsolation)
 
-    override fun isolated(): Boolean = state.isolated()
+    override fun isolated(): Boolean = state.isolation { rule, now -> rule.isolated(now) }
 
     override fun deadBy(vm: String, incarnation: Long): Long? =
         state.read { table, _ -> table.deadBy(vm, incarnation) }
@@ -66,11 +66,11 @@
 
     /** The table has the isolation of the last round; address answers must not name a VM that refuses by now. */
     private fun withIsolation(member: Member): Member =
-        if (member.id == state.selfId) member.copy(isolated = state.isolated()) else member
+        if (member.id == state.selfId) member.copy(isolated = isolated()) else member
 
     private fun beforeRound() {
         vmList.readIfDue()
-        val isolated = state.isolated()
+        val isolated = isolated()
         val digest = config.digest().toString()
         state.updateSelf { it.copy(openRequests = openRequests(), isolated = isolated, configDigest = digest) }
     }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/membership/MembershipReports.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/membership/MembershipReports.kt
@@ -3,12 +3,13 @@
 import com.fasterxml.jackson.core.JsonProcessingException
 import fireflyhinge.Json
 import fireflyhinge.config.Fence
+import fireflyhinge.membership.CatchUp
 import fireflyhinge.membership.MemberState
 import fireflyhinge.store.StoredObject
 import org.slf4j.LoggerFactory
 
 /** Entry points through which other parts of the daemon tell the membership what they have observed. */
-class MembershipReports internal constructor(private val state: MembershipState) {
+class MembershipReports internal constructor(private val state: MembershipState) : CatchUp {
     private val log = LoggerFactory.getLogger(javaClass)
 
     /** This VM begins or, if [draining] is false, ends draining. Peers learn it within a few rounds. */
@@ -24,8 +25,16 @@
     /** [vm] answered a message. */
     fun onAnswered(vm: String) = state.update { updates, now -> updates.onHeard(vm, now) }
 
-    /** The store answered a call of another part of the daemon. */
-    fun onStoreReached() = state.onStoreReached()
+    override fun begin(): Long = state.isolation { _, now -> now }
+
+    override fun onStoreRead(began: Long) =
+        state.isolation { rule, now ->
+            rule.onStoreReached(now)
+            rule.onStoreRead(began)
+        }
+
+    override fun onCompared(peer: String, current: Boolean, began: Long) =
+        state.isolation { rule, now -> rule.onCompared(peer, current, began, now) }
 
     /** An object `fences/<vm>` arrived. A fence that cannot be read is left out, since it proves nothing. */
     fun onFence(stored: StoredObject) {
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/membership/MembershipState.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/membership/MembershipState.kt
@@ -22,26 +22,30 @@
     private val isolation = IsolationRule(table, startedAt = clock.millis())
     private val exchange = GossipExchange(table, updates, random)
 
-    fun <T> read(action: (MemberTable, Long) -> T): T = synchronized(lock) { action(table, clock.millis()) }
+    fun <T> read(action: (MemberTable, Long) -> T): T = locked { now -> action(table, now) }
 
-    fun update(action: (MemberUpdates, Long) -> Unit) = synchronized(lock) { action(updates, clock.millis()) }
+    fun update(action: (MemberUpdates, Long) -> Unit) = locked { now -> action(updates, now) }
 
-    fun isolated(): Boolean = synchronized(lock) { isolation.isolated(clock.millis()) }
-
-    fun heardEnough(): Boolean = synchronized(lock) { isolation.heardEnough(clock.millis()) }
-
-    fun onStoreReached() = synchronized(lock) { isolation.onStoreReached(clock.millis()) }
+    /** Runs [action] with the isolation rule and the present time. */
+    fun <T> isolation(action: (IsolationRule, Long) -> T): T = locked { now -> action(isolation, now) }
 
     fun updateSelf(change: (Member) -> Member) = synchronized(lock) { table.updateSelf(change = change) }
 
-    fun choosePeers(): Set<String> = synchronized(lock) { PeerChoice.choose(table, clock.millis(), random) }
+    fun choosePeers(): Set<String> = locked { now -> PeerChoice.choose(table, now, random) }
 
     fun opening(peer: String, config: ConfigDigest): GossipMessage =
-        synchronized(lock) { exchange.opening(peer, config, clock.millis()) }
+        locked { now -> exchange.opening(peer, config, now) }
 
     fun answer(message: GossipMessage, config: ConfigDigest): GossipMessage =
-        synchronized(lock) { exchange.answer(message, config, clock.millis()) }
+        locked { now -> exchange.answer(message, config, now) }
 
     fun onAnswer(peer: String, answer: GossipMessage, config: ConfigDigest): GossipMessage? =
-        synchronized(lock) { exchange.onAnswer(peer, answer, config, clock.millis()) }
+        locked { now -> exchange.onAnswer(peer, answer, config, now) }
+
+    private inline fun <T> locked(action: (Long) -> T): T =
+        synchronized(lock) {
+            val now = clock.millis()
+            isolation.check(now)
+            action(now)
+        }
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/membership/VmListReader.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/membership/VmListReader.kt
@@ -28,7 +28,7 @@
         try {
             when (val result = store.vms()) {
                 is StoreResult.Ok -> {
-                    state.onStoreReached()
+                    state.isolation { rule, now -> rule.onStoreReached(now) }
                     state.update { updates, now -> updates.onList(result.value, now) }
                 }
                 else -> log.info("the VM list could not be read: {}", result)
@@ -41,7 +41,8 @@
 
     private fun period(): Long {
         val size = state.read { table, now -> table.view(now).size }
-        return if (state.heardEnough()) maxOf(MIN_PERIOD_MILLIS, size * PERIOD_MILLIS_PER_VM) else MIN_PERIOD_MILLIS
+        val heardEnough = state.isolation { rule, now -> rule.heardEnough(now) }
+        return if (heardEnough) maxOf(MIN_PERIOD_MILLIS, size * PERIOD_MILLIS_PER_VM) else MIN_PERIOD_MILLIS
     }
 
     private companion object {
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/MemoryFleet.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/MemoryFleet.kt
@@ -32,7 +32,14 @@
                 heartbeat = 0,
             )
         val gossip = GossipService(GossipSettings(self, seeds = listOf("vm0:2"), roundMillis = 50), store, transport)
-        val config = ConfigService(ConfigSettings(seeds = listOf("vm0:2"), pollMillis = 50), store, transport, gossip)
+        val config =
+            ConfigService(
+                ConfigSettings(seeds = listOf("vm0:2"), pollMillis = 50),
+                store,
+                transport,
+                gossip,
+                catchUp = gossip.reports,
+            )
 
         fun start() {
             gossip.attach(config)
