Learn the speed of prefill engines from the least reported time

Cause: the speed was an average of tokens by time. A reported time also has the holder's threads, messages and the engine's queue in it, so the average was up to five times too slow (0.05 ms a token is true; a trace of the cell owners showed 0.13 to 0.40 with empty engine queues while requests waited). Samples were taken only from engines believed idle, so an engine believed too slow stayed believed busy and gave no sample. Load reports added the arrival rate as a speed.

Ruled out: prefill capacity (52 % used with cached prefixes) and the prefix cache (no cached block was missed in the trace).

Change: each reported time is an upper bound; the least of the last 50 is the estimate, with the initial one filling the window at the start, so that slow first prefills cannot raise it. All prefills count, queued ones too.

--- a/core/src/main/kotlin/fireflyhinge/schedule/Dispatcher.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/Dispatcher.kt
@@ -42,7 +42,6 @@
                 placed = placed,
                 importAt = choice.transferStart + choice.transferMillis,
                 believedCached = choice.cachedTokens,
-                prefillUnqueued = choice.prefill.startAt(now) <= now,
             )
         queue.take(entry)
         replicas.bind(ticket, choice, now)
--- a/core/src/main/kotlin/fireflyhinge/schedule/PrefillReplica.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/PrefillReplica.kt
@@ -7,18 +7,15 @@
 internal class PrefillReplica(upstream: Upstream, settings: SchedulerSettings) : Replica(upstream) {
     val prefixes = PrefixBeliefs(settings.prefixBlocks)
 
-    /** Tokens read per millisecond. */
-    val speed = MovingAverage(settings.initialPrefillTokensPerMilli)
-
+    private val speed = PrefillSpeed(settings.initialPrefillTokensPerMilli)
     private var busyUntil = Long.MIN_VALUE
     private var assignedSinceReport = 0.0
-    private var reportedAt = 0L
 
     /** Time at which the engine can start on another prompt. */
     fun startAt(now: Long): Long = maxOf(now, busyUntil)
 
     /** Time to read [tokens] that are not cached. */
-    fun millisFor(tokens: Int): Long = Math.ceil(tokens / speed.value).toLong()
+    fun millisFor(tokens: Int): Long = speed.millisFor(tokens)
 
     /** Adds a prefill that ends at [end]. */
     fun assign(ticket: Ticket, end: Long) {
@@ -34,9 +31,9 @@
         if (cachedTokens != null && cachedTokens + PrefixBeliefs.BLOCK_TOKENS <= ticket.believedCached) {
             prefixes.overestimated()
         }
-        val read = ticket.request.promptTokens - (cachedTokens ?: ticket.believedCached)
-        val measured = ticket.prefillUnqueued && read >= MIN_SAMPLE_TOKENS
-        if (measured && prefillMillis != null) speed.add(read.toDouble() / maxOf(1, prefillMillis))
+        if (cachedTokens != null && prefillMillis != null) {
+            speed.add(read = ticket.request.promptTokens - cachedTokens, took = prefillMillis)
+        }
     }
 
     /** Forgets a ticket that ended. */
@@ -50,21 +47,9 @@
     }
 
     override fun onReport(newLoad: EngineLoad, now: Long) {
-        val before = load?.queuedPrefillTokens ?: 0
-        val elapsed = now - reportedAt
-        if (before > 0 && newLoad.queuedPrefillTokens > 0 && elapsed > 0) {
-            val read = before + assignedSinceReport - newLoad.queuedPrefillTokens
-            if (read > 0) speed.add(read / elapsed)
-        }
         // The report lags, so work assigned since the last one is kept in the estimate until the next.
         val lagging = now + millisFor((newLoad.queuedPrefillTokens + assignedSinceReport).toInt())
         busyUntil = minOf(busyUntil, lagging).coerceAtLeast(now + millisFor(newLoad.queuedPrefillTokens.toInt()))
         assignedSinceReport = 0.0
-        reportedAt = now
-    }
-
-    private companion object {
-        /** Shorter prompts measure the round trip rather than the speed. */
-        const val MIN_SAMPLE_TOKENS = 500
     }
 }
--- a/core/src/main/kotlin/fireflyhinge/schedule/Ticket.kt
+++ b/core/src/main/kotlin/fireflyhinge/schedule/Ticket.kt
@@ -9,14 +9,12 @@
  *
  * @property importAt time at which the prefill is expected to end and the decode to begin.
  * @property believedCached prompt tokens that were believed to be cached at the placement.
- * @property prefillUnqueued whether the prefill replica was believed idle, so that the prefill time measures its speed.
  */
 internal class Ticket(
     val request: PlaceRequest,
     val placed: PlaceReply.Placed,
     val importAt: Long,
     val believedCached: Int = 0,
-    val prefillUnqueued: Boolean = false,
 ) {
     val id: String get() = placed.ticket
 
