Share the member of the membership tests and simplify the borrower

Borrower tested the type of a reply twice, once always false as the compiler warned; the answer is now read in one place.

--- a/core/src/test/kotlin/fireflyhinge/membership/IsolationRuleTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/membership/IsolationRuleTest.kt
@@ -25,12 +25,12 @@
                 Case("seed addresses", isolated = true) { compare(listOf("a:1", "b:1", "c:1", "d:1"), it) },
             )
         cases.forEach { case ->
-            val table = MemberTable(member("self"))
+            val table = MemberTable(vm("self"))
             val updates = MemberUpdates(table)
             val rule = IsolationRule(table, startedAt = 0)
             rule.onStoreRead(began = 0)
             assertEquals(false, rule.isolated(1), "${case.what}: after the start")
-            repeat(OTHERS) { updates.merge(member("vm$it"), now = 0) }
+            repeat(OTHERS) { updates.merge(vm("vm$it"), now = 0) }
             rule.check(LOST)
             repeat(OTHERS) { updates.onHeard("vm$it", BACK) }
             rule.onStoreReached(BACK)
@@ -42,24 +42,13 @@
     /** Guards against a VM that serves callers with no configuration or with one of unknown age. */
     @Test
     fun aVmIsIsolatedUntilItsFirstRead() {
-        val rule = IsolationRule(MemberTable(member("self")), startedAt = 0)
+        val rule = IsolationRule(MemberTable(vm("self")), startedAt = 0)
         assertEquals(true, rule.isolated(1))
     }
 
     private fun IsolationRule.compare(peers: List<String>, now: Long) =
         peers.forEach { onCompared(it, current = false, began = now, now = now) }
 
-    private fun member(id: String) =
-        Member(
-            id = id,
-            region = "r",
-            failureDomain = "d",
-            callerAddress = "$id:1",
-            controlAddress = "$id:2",
-            incarnation = 1,
-            heartbeat = 1,
-        )
-
     private companion object {
         const val OTHERS = 7
         const val LOST = 20_000L
--- a/core/src/test/kotlin/fireflyhinge/membership/MemberTableTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/membership/MemberTableTest.kt
@@ -206,17 +206,6 @@
         }
     }
 
-    private fun vm(id: String, incarnation: Long = 1, heartbeat: Long = 1) =
-        Member(
-            id = id,
-            region = "r",
-            failureDomain = "d",
-            callerAddress = "$id:1",
-            controlAddress = "$id:2",
-            incarnation = incarnation,
-            heartbeat = heartbeat,
-        )
-
     private fun entry(id: String) = VmEntry(id, "r", "d", "$id:1", "$id:2")
 
     private companion object {
--- a/core/src/test/kotlin/fireflyhinge/membership/SimulatedVm.kt
+++ b/core/src/test/kotlin/fireflyhinge/membership/SimulatedVm.kt
@@ -10,17 +10,7 @@
 
 /** One VM of [SimulatedFleet]; checks after each step that nothing it holds went back. */
 class SimulatedVm(val id: String, incarnation: Long, random: Random) {
-    private val self =
-        Member(
-            id = id,
-            region = "r",
-            failureDomain = "d",
-            callerAddress = "$id:1",
-            controlAddress = "$id:2",
-            incarnation = incarnation,
-            heartbeat = 0,
-        )
-    val table = MemberTable(self)
+    val table = MemberTable(vm(id, incarnation, heartbeat = 0))
     val updates = MemberUpdates(table)
     val exchange = GossipExchange(table, updates, random)
     var running = true
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/quota/Borrower.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/quota/Borrower.kt
@@ -43,22 +43,22 @@
         return due
     }
 
-    private fun ask(lender: String, workspace: String, shard: Int, tokens: Double, credit: (Double) -> Unit): Boolean {
+    private fun ask(lender: String, workspace: String, shard: Int, wanted: Double, credit: (Double) -> Unit): Boolean {
         val owner = ownership.ownerOf(lender, shard) ?: return false
         val sentAt = clock.millis()
         val result =
             transport.post(
                 vm = owner,
                 path = "/peer/v1/borrow",
-                message = BorrowRequest(workspace = workspace, region = region, tokens = tokens),
+                message = BorrowRequest(workspace = workspace, region = region, tokens = wanted),
                 reply = BorrowReply::class.java,
                 timeoutMillis = QuotaTimes.REPLY_LIMIT_MILLIS,
             )
         // The lender gave up what it accrued in this time; tokens that travel longer would come on top.
-        val usable = result is PeerResult.Ok && clock.millis() - sentAt <= QuotaTimes.REPLY_LIMIT_MILLIS
-        if (!usable || result !is PeerResult.Ok || result.value.tokens <= 0) return false
-        credit(result.value.tokens)
-        return true
+        val inTime = clock.millis() - sentAt <= QuotaTimes.REPLY_LIMIT_MILLIS
+        val tokens = if (result is PeerResult.Ok && inTime) result.value.tokens else 0.0
+        if (tokens > 0) credit(tokens)
+        return tokens > 0
     }
 
     override fun close() = threads.shutdown()
