Count comparisons towards half of the members only once a member is known

Cause: before the first gossip a starting VM knows no other member, and one comparison with a seed that was itself cut off counted as half of them, so it could serve with an old configuration. Found by reading.

Change: at least one known member must have been compared with, unless the peer is current. IsolationRuleTest has the case.

--- a/core/src/main/kotlin/fireflyhinge/membership/IsolationRule.kt
+++ b/core/src/main/kotlin/fireflyhinge/membership/IsolationRule.kt
@@ -45,7 +45,8 @@
     fun onCompared(peer: String, current: Boolean, began: Long, now: Long) {
         if (missingSince?.let { began <= it } != false) return
         if (peer in table.records) compared += peer
-        if (current || 2 * compared.size >= sample(now).size) caughtUp(began)
+        val half = compared.isNotEmpty() && 2 * compared.size >= sample(now).size
+        if (current || half) caughtUp(began)
     }
 
     /** Whether at least half of the other members were heard from lately. Without other members it is true. */
--- a/core/src/test/kotlin/fireflyhinge/membership/IsolationRuleTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/membership/IsolationRuleTest.kt
@@ -44,6 +44,8 @@
     fun aVmIsIsolatedUntilItsFirstRead() {
         val rule = IsolationRule(MemberTable(vm("self")), startedAt = 0)
         assertEquals(true, rule.isolated(1))
+        rule.onCompared("seed:1", current = false, began = 1, now = 1)
+        assertEquals(true, rule.isolated(2), "a seed that was cut off as well is not half of a fleet yet unknown")
     }
 
     private fun IsolationRule.compare(peers: List<String>, now: Long) =
