Ask the successor of a dead quota owner and ask again after late answers

ConfigFaultTest, VM restarted while the store is down. Cause: on evidence of the owner's death the successor acts at once, but the map in the store still names the dead process, and only the cells' client also tried the successor. Quota charges asked the VM in the map, here the new process on the same VM, until the store was back. Change: the VM to ask for a shard is the successor when the owner's process is proven dead.

LeavingTest and, it seems, QuotaFaultTest, first traffic of a new fleet. Cause: an answer later than 230 ms is not used, and asking again was not given more time than the second an interactive request may wait for tokens; cold processes took longer for their first question ("owners asked: [vm-4], no owner answered in time" without a reason). Change: late answers prolong the search like a missing owner does, up to 6 s in all.

--- a/core/src/main/kotlin/fireflyhinge/lease/ShardOwnership.kt
+++ b/core/src/main/kotlin/fireflyhinge/lease/ShardOwnership.kt
@@ -11,7 +11,7 @@
     /** The leases behind [actingEpoch], for actions that need more than the right to act. */
     val leases: ShardLeases get() = ShardLeases.None
 
-    /** VM that is believed to own [shard] in [region], or null if none is known. */
+    /** VM to ask for [shard] in [region]: the owner, or the successor of a dead one; null if none is known. */
     fun ownerOf(region: String, shard: Int): String?
 
     /** VM that is believed to succeed the owner of [shard] in [region], or null if none is known. */
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/lease/ShardService.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/lease/ShardService.kt
@@ -96,7 +96,12 @@
 
     override fun actingEpoch(shard: Int): Long? = if (stopped) null else book.use { now -> actingEpoch(shard, now) }
 
-    override fun ownerOf(region: String, shard: Int): String? = maps.entry(region, shard)?.owner?.vm
+    /** While the store is down the map still names a dead owner, whose successor acts without a write. */
+    override fun ownerOf(region: String, shard: Int): String? {
+        val entry = maps.entry(region, shard) ?: return null
+        val dead = membership.provenDead(entry.owner.vm, entry.owner.incarnation)
+        return (entry.successor?.takeIf { dead } ?: entry.owner).vm
+    }
 
     override fun successorOf(region: String, shard: Int): String? = maps.entry(region, shard)?.successor?.vm
 
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/quota/ChargeAttempt.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/quota/ChargeAttempt.kt
@@ -79,7 +79,7 @@
         if (wait > 0) TimeUnit.NANOSECONDS.sleep(wait)
         // A late answer is not used. The next question carries the same id, and the owner charges it anew.
         val late = clock.nanos() - sentAt - wait > millisToNanos(QuotaTimes.REPLY_LIMIT_MILLIS)
-        if (late) return ChargeStep.Again(afterMillis = 0, promised = false)
+        if (late) return askAgain("an answer came too late to be used", afterMillis = 0)
         val charge =
             Charge(
                 chargeId = request.chargeId,
@@ -94,10 +94,17 @@
 
     private fun lost(reason: String): ChargeStep {
         refreshMaps()
+        return askAgain(reason, afterMillis = QuotaTimes.RETRY_MILLIS)
+    }
+
+    /**
+     * The search for an owner and for a usable answer does not use up the time that the request may wait for tokens:
+     * the first question of a process that has just started may take more than a second.
+     */
+    private fun askAgain(reason: String, afterMillis: Long): ChargeStep {
         detail = reason
-        // The search for an owner does not use up the time that the request may wait for tokens.
         deadline = maxOf(deadline, minOf(clock.nanos() + millisToNanos(request.maxWaitMillis), patience))
-        return ChargeStep.Again(afterMillis = QuotaTimes.RETRY_MILLIS, promised = false)
+        return ChargeStep.Again(afterMillis = afterMillis, promised = false)
     }
 
     private fun refused(code: ResultCode, retryAfterMillis: Long?, detail: String = "") =
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/quota/QuotaFleetTest.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/quota/QuotaFleetTest.kt
@@ -65,6 +65,24 @@
         }
     }
 
+    /** Guards against refusals within the rate when the first answers, of cold processes, come too late to be used. */
+    @Test
+    fun lateAnswersAreAskedForAgain() {
+        QuotaFleet(size = 2, workspace = QuotaFleet.workspace(burst = 2250.0)).use { fleet ->
+            val shard = fleet.nodes.getValue("vm0").shards.shardOf("quota/shop")
+            await("an owner") { fleet.actingNode(shard) != null }
+            await("a full bucket") { code(fleet.ask(0, "full", 2000.0)) == null }
+            val asker = fleet.nodes.values.first { it !== fleet.actingNode(shard) }
+            var late = 0
+            fleet.losesReply = { path ->
+                if (path == "/peer/v1/charge" && late++ < 2) Thread.sleep(LATE_MILLIS)
+                false
+            }
+            val outcome = asker.client.charge(request("late", 1.0).copy(maxWaitMillis = 1000)) { false }
+            assertEquals(null, code(outcome), "$outcome")
+        }
+    }
+
     /** Guards against charges that stay debited after the caller has left, and against waiting for them in vain. */
     @Test
     fun anAbandonedChargeIsReturned() {
@@ -76,4 +94,9 @@
             assertEquals(null, code(fleet.ask(0, "next", 900.0)))
         }
     }
+
+    private companion object {
+        // Longer than the 230 ms for which an answer counts; two of them exceed the wait of an interactive request.
+        const val LATE_MILLIS = 600L
+    }
 }
