--- a/core/src/main/kotlin/fireflyhinge/membership/IsolationRule.kt
+++ b/core/src/main/kotlin/fireflyhinge/membership/IsolationRule.kt
@@ -36,26 +36,27 @@
     }
 
     /** The whole configuration was read from the store, from [began] on. */
-    fun onStoreRead(began: Long) = caughtUp(began)
+    fun onStoreRead(began: Long) {
+        if (isAfterLoss(began)) missingSince = null
+    }
 
     /**
      * A comparison with [peer], from [began] on, left no difference. Peers that are not [current] count once they are
      * half of the others: so many also count as contact, and after a partition of all VMs nobody is current.
      */
     fun onCompared(peer: String, current: Boolean, began: Long, now: Long) {
-        if (missingSince?.let { began <= it } != false) return
+        if (!isAfterLoss(began)) return
         if (peer in table.records) compared += peer
         val half = compared.isNotEmpty() && 2 * compared.size >= sample(now).size
-        if (current || half) caughtUp(began)
+        if (current || half) missingSince = null
     }
 
     /** Whether at least half of the other members were heard from lately. Without other members it is true. */
     fun heardEnough(now: Long): Boolean =
         sample(now).let { sample -> 2 * sample.count { it.heardWithin(LIMIT_MILLIS, now) } >= sample.size }
 
-    private fun caughtUp(began: Long) {
-        if (missingSince?.let { began > it } == true) missingSince = null
-    }
+    /** A read that began before the contact was lost may lack what changed since. */
+    private fun isAfterLoss(began: Long) = missingSince.let { it != null && began > it }
 
     /** A large fleet does not spread every heartbeat to everyone; there the VMs tried lately stand for the others. */
     private fun sample(now: Long): List<MemberRecord> {
