--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/forward/EventSplitter.kt
@@ -0,0 +1,58 @@
+package fireflyhinge.forward
+
+import java.io.ByteArrayOutputStream
+
+/**
+ * Splits the bytes of a `text/event-stream` body into whole events. A replica may stop inside an event, so a caller
+ * must never get a part of one. Not thread-safe.
+ */
+class EventSplitter {
+    private val pending = ByteArrayOutputStream()
+    private var lineLength = 0
+    private var number: Long? = null
+    private val line = StringBuilder()
+
+    /** Whether bytes of an event that is not whole are held. */
+    val partial: Boolean get() = pending.size() > 0
+
+    /** Adds [bytes] and returns the events that are whole now. */
+    fun add(bytes: ByteArray): List<StreamEvent> {
+        val events = ArrayList<StreamEvent>()
+        for (byte in bytes) {
+            pending.write(byte.toInt())
+            when (byte) {
+                LINE_FEED -> endLine()?.let { events += it }
+                CARRIAGE_RETURN -> Unit
+                else -> {
+                    lineLength++
+                    if (line.length < MOST_ID_LINE) line.append(byte.toInt().toChar())
+                }
+            }
+        }
+        return events
+    }
+
+    private fun endLine(): StreamEvent? {
+        if (lineLength == 0) {
+            val event = StreamEvent(number, pending.toByteArray())
+            pending.reset()
+            number = null
+            // An empty line between events belongs to no event.
+            return event.takeIf { it.bytes.size > LONGEST_EMPTY_LINE }
+        }
+        if (line.startsWith(ID_FIELD)) number = line.substring(ID_FIELD.length).trim().toLongOrNull()
+        line.setLength(0)
+        lineLength = 0
+        return null
+    }
+
+    private companion object {
+        const val LINE_FEED = '\n'.code.toByte()
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
+        const val ID_FIELD = "id:"
+
+        /** Characters of a line that are kept to read an id; longer lines are data. */
+        const val MOST_ID_LINE = 64
+        const val LONGEST_EMPTY_LINE = 2
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/forward/FeedKind.kt
@@ -0,0 +1,13 @@
+package fireflyhinge.forward
+
+/** Kinds of objects in the platform's store that VMs follow. */
+enum class FeedKind {
+    /** The configuration. */
+    CONFIGURATION,
+
+    /** The list of replicas. */
+    REPLICAS,
+
+    /** The VMs of this system. */
+    VMS,
+}
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/forward/FleetView.kt
@@ -0,0 +1,75 @@
+package fireflyhinge.forward
+
+import fireflyhinge.time.MonotonicClock
+import fireflyhinge.time.millis
+
+/** What this VM knows of all VMs, from its own exchanges and from what others pass on. Thread-safe. */
+class FleetView(self: VmRecord, private val clock: MonotonicClock = MonotonicClock.SYSTEM) {
+    private class Known(var record: VmRecord, var heardAt: Long, var refusedBeat: Long? = null)
+
+    private val known = LinkedHashMap<String, Known>()
+    private var own = self
+
+    /** The record of this VM. */
+    val self: VmRecord @Synchronized get() = own
+
+    /** Raises the beat of this VM and sets whether it takes requests. */
+    @Synchronized
+    fun beat(ready: Boolean) {
+        own = own.copy(beat = own.beat + 1, ready = ready)
+    }
+
+    /** Takes over [records] that are newer than those held. */
+    @Synchronized
+    fun merge(records: Collection<VmRecord>) {
+        val now = clock.millis()
+        for (record in records) {
+            if (record.name == own.name) continue
+            val held = known[record.name]
+            if (held == null) {
+                known[record.name] = Known(record, now)
+            } else if (record.newerThan(held.record)) {
+                held.record = record
+                held.heardAt = now
+            }
+        }
+    }
+
+    /** VM [name] refused a connection: it counts as not running until it raises its beat. */
+    @Synchronized
+    fun refused(name: String) {
+        known[name]?.let { it.refusedBeat = it.record.beat }
+    }
+
+    /** Records of all VMs, this one first. */
+    @Synchronized
+    fun all(): List<VmRecord> = listOf(own) + known.values.map { it.record }
+
+    /** VMs other than this one that were heard of within [FRESH_MILLIS]. */
+    @Synchronized
+    fun live(): List<VmRecord> {
+        val now = clock.millis()
+        return known.values
+            .filter { now - it.heardAt < FRESH_MILLIS && it.refusedBeat != it.record.beat }
+            .map { it.record }
+    }
+
+    /**
+     * VMs that share limits: all that were heard of within [SHARING_MILLIS], this one included. If most are silent
+     * this VM is probably cut off, and the others still use their shares; then all count.
+     */
+    @Synchronized
+    fun sharing(): Int {
+        val now = clock.millis()
+        val heard = known.values.count { now - it.heardAt < SHARING_MILLIS }
+        return 1 + if (heard * 2 >= known.size) heard else known.size
+    }
+
+    private companion object {
+        /** A beat is passed on within about two exchanges of half a second each; twice that is silence. */
+        const val FRESH_MILLIS = 2_500L
+
+        /** Longer than a restart or an ordinary partition, so that shares do not change with these. */
+        const val SHARING_MILLIS = 20_000L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/forward/QuotaShares.kt
@@ -0,0 +1,88 @@
+package fireflyhinge.forward
+
+import fireflyhinge.time.MonotonicClock
+import fireflyhinge.time.millis
+
+/**
+ * This VM's shares of the limits of all workspaces. Each VM holds an equal part of every limit and may lend tokens to
+ * another one, so the sum over all VMs stays within the limit whatever fails between them: a lost loan is lost, never
+ * doubled. Thread-safe.
+ *
+ * @param vms number of VMs that share the limits.
+ * @param fresh whether the fleet starts for the first time; a VM that restarts begins with a small part of its depth,
+ * since its predecessor may have used the rest within the same window.
+ */
+class QuotaShares(
+    private val bounds: QuotaBounds,
+    private val vms: () -> Int,
+    private val fresh: Boolean,
+    private val clock: MonotonicClock = MonotonicClock.SYSTEM,
+) {
+    private val shares = HashMap<String, QuotaShare>()
+
+    /** Takes [tokens] of [workspace], or returns false if this VM's share does not hold them. */
+    @Synchronized
+    fun take(workspace: ForwardWorkspace, tokens: Double): Boolean =
+        workspace.limit.ratePerSecond <= 0 || share(workspace).take(tokens)
+
+    /** Gives back [tokens] that were taken and not used, or adds tokens that another VM lent. */
+    @Synchronized
+    fun add(workspace: ForwardWorkspace, tokens: Double) {
+        if (workspace.limit.ratePerSecond > 0) share(workspace).add(tokens)
+    }
+
+    /** Takes up to [wanted] tokens for another VM, at most half of what this VM holds. Returns how many. */
+    @Synchronized
+    fun lend(workspace: ForwardWorkspace, wanted: Double): Double {
+        if (workspace.limit.ratePerSecond <= 0) return 0.0
+        val share = share(workspace)
+        val lent = minOf(wanted, share.level * LENDABLE_PART)
+        if (lent < wanted || !share.take(lent)) return 0.0
+        return lent
+    }
+
+    /** Milliseconds until this VM's share holds [tokens], at most [LONGEST_WAIT_MILLIS]. */
+    @Synchronized
+    fun waitFor(workspace: ForwardWorkspace, tokens: Double): Long {
+        val share = share(workspace)
+        val wait = (tokens - share.level) / maxOf(1.0, share.rate) * MILLIS_PER_SECOND
+        return wait.toLong().coerceIn(SHORTEST_WAIT_MILLIS, LONGEST_WAIT_MILLIS)
+    }
+
+    private fun share(workspace: ForwardWorkspace): QuotaShare {
+        val count = maxOf(1, vms())
+        val rate = workspace.limit.ratePerSecond / count
+        val depth = depth(workspace.limit) / count
+        val now = clock.millis()
+        val share =
+            shares.getOrPut(workspace.name) {
+                QuotaShare(rate, depth, if (fresh) depth else depth * RESTART_PART, now)
+            }
+        share.advance(now)
+        share.rate = rate
+        share.depth = depth
+        return share
+    }
+
+    /** Depth of all buckets together: the burst and half of the tolerated excess; the rest covers restarted VMs. */
+    private fun depth(limit: WorkspaceLimit): Double {
+        val tolerated = bounds.overage * limit.ratePerSecond * bounds.windowMillis / MILLIS_PER_SECOND
+        return limit.burst + (tolerated + bounds.slackTokens) * EXCESS_PART
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1000.0
+
+        /** Part of the tolerated excess that buckets hold. */
+        const val EXCESS_PART = 0.5
+
+        /** Part of its depth that a restarted VM begins with. */
+        const val RESTART_PART = 0.25
+
+        /** Part of its level that a VM lends; the rest serves its own callers. */
+        const val LENDABLE_PART = 0.5
+
+        const val SHORTEST_WAIT_MILLIS = 100L
+        const val LONGEST_WAIT_MILLIS = 3_000L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
@@ -0,0 +1,31 @@
+package fireflyhinge.forward
+
+import fireflyhinge.time.MonotonicClock
+
+/** All replicas that the platform lists, with what this VM knows of each. Thread-safe. */
+class ReplicaTable(private val clock: MonotonicClock = MonotonicClock.SYSTEM) {
+    private var states = emptyMap<String, ReplicaState>()
+
+    /** Replaces the list of replicas; what is known of those that stay is kept. */
+    @Synchronized
+    fun replace(replicas: Collection<Replica>) {
+        states = replicas.associate { it.id to stateOf(it) }
+    }
+
+    /** Replicas of [service] at [stage] that may get new requests. */
+    @Synchronized
+    fun usable(service: String, stage: ReplicaStage): List<ReplicaState> =
+        states.values.filter { it.replica.service == service && it.replica.stage == stage && !it.replica.leaving }
+
+    /** Number of listed replicas. */
+    val size: Int @Synchronized get() = states.size
+
+    private fun stateOf(replica: Replica): ReplicaState {
+        val known = states[replica.id]
+        val same = known != null && known.replica.startedAt == replica.startedAt &&
+            known.replica.address == replica.address
+        if (!same) return ReplicaState(replica, clock)
+        known.replica = replica
+        return known
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/forward/RouteTable.kt
@@ -0,0 +1,15 @@
+package fireflyhinge.forward
+
+/** Finds the route of a request by host and longest path prefix. */
+class RouteTable(routes: List<ForwardRoute>) {
+    private val byHost =
+        routes
+            .groupBy { it.host.lowercase() }
+            .mapValues { (_, rules) -> rules.sortedByDescending { it.pathPrefix.length } }
+
+    /** The route for the request target [uri] at [host], which may have a port; null if none matches. */
+    fun find(host: String, uri: String): ForwardRoute? {
+        val path = uri.substringBefore('?')
+        return byHost[host.substringBefore(':').lowercase()]?.find { path.startsWith(it.pathPrefix) }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/forward/VmRecord.kt
@@ -0,0 +1,26 @@
+package fireflyhinge.forward
+
+/**
+ * What a VM says of itself. A record with a higher ([startedAt], [beat]) is newer.
+ *
+ * @property front `host:port` where it serves callers.
+ * @property control `host:port` where it answers other VMs.
+ * @property startedAt Unix milliseconds of its start.
+ * @property beat raised by the VM itself while it runs.
+ * @property ready whether it takes requests.
+ * @property strength its share of a processor core, by which callers are spread.
+ */
+data class VmRecord(
+    val name: String,
+    val front: String,
+    val control: String,
+    val failureDomain: String,
+    val startedAt: Long,
+    val beat: Long = 0,
+    val ready: Boolean = false,
+    val strength: Double = 1.0,
+) {
+    /** Whether this record was made after [other]. */
+    fun newerThan(other: VmRecord): Boolean =
+        compareValuesBy(this, other, { it.startedAt }, { it.beat }) > 0
+}
--- a/core/src/main/kotlin/fireflyhinge/result/ResultCode.kt
+++ b/core/src/main/kotlin/fireflyhinge/result/ResultCode.kt
@@ -53,6 +53,7 @@
     UNKNOWN_TEMPLATE_PARAMETER(7006, 422, Run.NOT_RUN, "The template has no parameter of this name."),
     CHANGE_UNCONFIRMED(7007, 504, Run.UNKNOWN, "The store did not confirm the change; read the object first."),
     VM_UNREACHABLE(7008, 503, Run.NOT_RUN, "The VM that the operator named does not answer."),
+    CONFIGURATION_UNKNOWN(7009, 503, Run.NOT_RUN, "This VM has not read the configuration yet; use another address."),
     SETTING_INVALID(8001, 500, Run.NOT_RUN, "A setting has a value that is not allowed."),
     SETTING_MISSING(8002, 500, Run.NOT_RUN, "A required setting is missing."),
     INTERNAL(9001, 500, Run.UNKNOWN, "An internal error occurred."),
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/EntryHandler.kt
@@ -0,0 +1,53 @@
+package fireflyhinge.gateway
+
+import fireflyhinge.forward.CallerAddresses
+import fireflyhinge.gateway.http.AnswerWriter
+import fireflyhinge.gateway.http.CallerRequest
+import fireflyhinge.gateway.http.RequestHandler
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+
+/** Answers readiness checks, address look-ups and requests for metrics. */
+internal class EntryHandler(
+    private val dialect: EntryDialect,
+    private val addresses: CallerAddresses,
+    private val ready: () -> Boolean,
+    private val registry: PrometheusRegistry,
+) : RequestHandler {
+    override suspend fun handle(request: CallerRequest, answer: AnswerWriter) {
+        when (request.uri.substringBefore('?')) {
+            dialect.readyPath -> answer.whole(if (ready()) OK else UNAVAILABLE, DefaultHttpHeaders(), ByteArray(0))
+            dialect.lookupPath -> lookup(request, answer)
+            METRICS_PATH -> metrics(answer)
+            else -> answer.whole(NOT_FOUND, DefaultHttpHeaders(), ByteArray(0))
+        }
+    }
+
+    private suspend fun lookup(request: CallerRequest, answer: AnswerWriter) {
+        val fronts = addresses.select(dialect.failureDomain(request.uri))
+        // A caller asks another VM after an answer without addresses.
+        if (fronts.isEmpty()) return answer.whole(UNAVAILABLE, DefaultHttpHeaders(), ByteArray(0))
+        val headers = DefaultHttpHeaders().add(HttpHeaderNames.CONTENT_TYPE, "application/json")
+        answer.whole(OK, headers, dialect.addresses(fronts, TTL_SECONDS))
+    }
+
+    private suspend fun metrics(answer: AnswerWriter) {
+        val body = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.create().write(body, registry.scrape())
+        val headers = DefaultHttpHeaders().add(HttpHeaderNames.CONTENT_TYPE, PrometheusTextFormatWriter.CONTENT_TYPE)
+        answer.whole(OK, headers, body.toByteArray())
+    }
+
+    private companion object {
+        const val OK = 200
+        const val NOT_FOUND = 404
+        const val UNAVAILABLE = 503
+        const val METRICS_PATH = "/metrics"
+
+        /** A VM that fails is out of new answers within three seconds; callers keep answers about as long. */
+        const val TTL_SECONDS = 4
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -0,0 +1,180 @@
+package fireflyhinge.gateway
+
+import fireflyhinge.forward.CallerAddresses
+import fireflyhinge.forward.CallerLimits
+import fireflyhinge.forward.FailureDomains
+import fireflyhinge.forward.FeedAnswer
+import fireflyhinge.forward.FeedKind
+import fireflyhinge.forward.FeedState
+import fireflyhinge.forward.FleetView
+import fireflyhinge.forward.ForwardConfig
+import fireflyhinge.forward.QuotaShares
+import fireflyhinge.forward.RepeatShares
+import fireflyhinge.forward.ReplicaChooser
+import fireflyhinge.forward.ReplicaTable
+import fireflyhinge.forward.VmRecord
+import fireflyhinge.gateway.fleet.ControlHandler
+import fireflyhinge.gateway.fleet.Feed
+import fireflyhinge.gateway.fleet.Gossip
+import fireflyhinge.gateway.fleet.PeerClient
+import fireflyhinge.gateway.forward.Forwarder
+import fireflyhinge.gateway.forward.PlainForwarder
+import fireflyhinge.gateway.forward.QuotaGate
+import fireflyhinge.gateway.forward.ReplicaPools
+import fireflyhinge.gateway.forward.ReplicaSender
+import fireflyhinge.gateway.forward.RequestJournal
+import fireflyhinge.gateway.forward.StreamForwarder
+import fireflyhinge.gateway.http.ConnectionPool
+import fireflyhinge.gateway.http.HttpListener
+import fireflyhinge.gateway.http.Io
+import fireflyhinge.gateway.http.StoreHttp
+import fireflyhinge.gateway.http.nowMillis
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.slf4j.LoggerFactory
+
+/** One gateway process: its parts, their start, and a stop that cuts off no request. */
+class Gateway(settings: GatewaySettings, private val dialects: GatewayDialects) {
+    private val log = LoggerFactory.getLogger(javaClass)
+    private val io = Io()
+    private val registry = PrometheusRegistry()
+    private val domains = FailureDomains(settings.failureDomain, settings.regions)
+    private val fleet = FleetView(record(settings))
+    private val table = ReplicaTable()
+    private val store = dialects.store(StoreHttp(ConnectionPool(io), settings.store))
+    private val configFeed = Feed(FeedKind.CONFIGURATION, store, ::configure)
+    private val replicaFeed = Feed(FeedKind.REPLICAS, store, ::list)
+    private val feeds = listOf(configFeed, replicaFeed)
+    private val gossip = Gossip(fleet, domains, PeerClient(ConnectionPool(io)), feeds, { this.settings.seeds }, ::ready)
+    private val shares = QuotaShares(settings.quota, ::sharing, settings.firstStart)
+    private val repeats = RepeatShares(settings.repeats, ::sharing)
+    private val pools = ReplicaPools(table, ReplicaChooser(table, domains), repeats)
+    private val sender = ReplicaSender(io, ConnectionPool(io), dialects.replicas)
+    private val startedAt = nowMillis()
+
+    @Volatile
+    private var settings: GatewaySettings = settings
+
+    @Volatile
+    private var config: ForwardConfig? = null
+
+    @Volatile
+    private var fleetListed = false
+
+    private val forwarder =
+        Forwarder(
+            config = { config },
+            callers = dialects.callers,
+            replicas = dialects.replicas,
+            quota = QuotaGate(shares, gossip::borrow),
+            plain = PlainForwarder(pools, sender),
+            streams = StreamForwarder(pools, sender),
+            journal = RequestJournal(registry),
+        )
+    private val front = HttpListener(io, settings.front, { config?.limits ?: CallerLimits() }, forwarder)
+    private val control =
+        HttpListener(io, settings.control, handler = ControlHandler(gossip, feeds, shares) { config })
+    private val entries =
+        EntryHandler(dialects.entry, CallerAddresses(fleet, domains), ::ready, registry).let { handler ->
+            settings.entry.map { HttpListener(io, it, handler = handler) }
+        }
+
+    /** Opens the ports and begins to follow the store and the other VMs. */
+    fun start() {
+        (entries + control + front).forEach { it.start() }
+        io.scope.launch { findFleet() }
+        feeds.forEach { feed -> io.scope.launch { feed.run() } }
+        io.scope.launch { gossip.run() }
+        log.atInfo().addKeyValue("vm", settings.vm).addKeyValue("front", settings.front).log("started")
+    }
+
+    /** Takes up settings that may change while the process runs. */
+    fun reload(next: GatewaySettings) {
+        log.atInfo().addKeyValue("seeds", next.seeds).log("settings reloaded")
+        settings = next
+    }
+
+    /**
+     * Stops: callers are told other addresses, then new connections are refused, then running requests end. Blocks
+     * until that is done or [GatewaySettings.stopMillis] is almost over.
+     */
+    fun stop() {
+        val began = nowMillis()
+        log.info("stopping")
+        front.draining = true
+        runBlocking(io.dispatcher) { gossip.announce() }
+        val end = began + settings.stopMillis - STOP_MARGIN_MILLIS
+        Thread.sleep(ANNOUNCED_MILLIS)
+        io.loop.execute { front.stopAccepting() }
+        while (nowMillis() < end && front.inFlight > 0) Thread.sleep(POLL_MILLIS)
+        log.atInfo().addKeyValue("open", front.inFlight).addKeyValue("millis", nowMillis() - began).log("stopped")
+    }
+
+    /** Registers this VM and reads who else there is, until the store has confirmed both. */
+    private suspend fun findFleet() {
+        while (true) {
+            val answer = store.list(FeedKind.VMS)
+            if (answer is FeedAnswer.Listing) {
+                val listed = dialects.feeds.vms(answer.items)
+                fleet.merge(listed)
+                val self = fleet.self
+                val written = listed.any { it.name == self.name && it.control == self.control && it.front == self.front }
+                if (written || store.register(self)) break
+            }
+            delay(REGISTER_PAUSE_MILLIS)
+        }
+        fleetListed = true
+    }
+
+    private fun ready(): Boolean = !front.draining && config != null && replicaFeed.revision > 0
+
+    /** Until the other VMs are known, limits are shared with as many as the fleet may have. */
+    private fun sharing(): Int {
+        val known = fleetListed || gossip.answered > 0 || nowMillis() - startedAt > UNKNOWN_MILLIS
+        return if (known) fleet.sharing() else maxOf(fleet.sharing(), UNKNOWN_VMS)
+    }
+
+    private fun configure(state: FeedState) {
+        val next = dialects.feeds.config(state.items().values) ?: return
+        val held = config
+        if (held != null && next.version < held.version) {
+            log.atWarn().addKeyValue("held", held.version).addKeyValue("read", next.version).log("older configuration")
+            return
+        }
+        config = next
+        log.atInfo().addKeyValue("config", next.version).addKeyValue("routes", next.routes.size).log("configured")
+    }
+
+    private fun list(state: FeedState) {
+        val replicas = dialects.feeds.replicas(state.items().values)
+        table.replace(replicas)
+        log.atInfo().addKeyValue("replicas", replicas.map { "${it.id}${if (it.leaving) " leaving" else ""}" })
+            .log("replicas listed")
+    }
+
+    private companion object {
+        /** Callers that hold an older answer come in this time; later ones are refused and use another address. */
+        const val ANNOUNCED_MILLIS = 2_500L
+
+        /** Time to end the process before it is killed. */
+        const val STOP_MARGIN_MILLIS = 700L
+        const val POLL_MILLIS = 20L
+        const val REGISTER_PAUSE_MILLIS = 1_000L
+
+        /** VMs that share limits as long as none is known, at most for [UNKNOWN_MILLIS]. */
+        const val UNKNOWN_VMS = 16
+        const val UNKNOWN_MILLIS = 3_000L
+
+        fun record(settings: GatewaySettings) =
+            VmRecord(
+                name = settings.vm,
+                front = settings.front.text(),
+                control = settings.control.text(),
+                failureDomain = settings.failureDomain,
+                startedAt = System.currentTimeMillis(),
+                strength = settings.strength,
+            )
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/GatewaySettings.kt
@@ -0,0 +1,36 @@
+package fireflyhinge.gateway
+
+import fireflyhinge.forward.QuotaBounds
+import fireflyhinge.forward.RepeatBounds
+import java.net.InetSocketAddress
+
+/**
+ * Settings of one gateway process.
+ *
+ * @property vm name of the VM.
+ * @property failureDomain failure domain of the VM.
+ * @property regions region of each failure domain.
+ * @property front where callers send requests.
+ * @property entry where callers look up addresses, the platform checks readiness, and metrics are read.
+ * @property control where other VMs send messages.
+ * @property seeds control addresses of VMs that may run; they may be out of date.
+ * @property store address of the platform's store.
+ * @property firstStart whether the whole system starts for the first time.
+ * @property strength share of a processor core.
+ * @property stopMillis time from SIGTERM until the process is killed.
+ */
+data class GatewaySettings(
+    val vm: String,
+    val failureDomain: String,
+    val regions: Map<String, String>,
+    val front: InetSocketAddress,
+    val entry: List<InetSocketAddress>,
+    val control: InetSocketAddress,
+    val seeds: List<String>,
+    val store: String,
+    val firstStart: Boolean,
+    val strength: Double,
+    val stopMillis: Long,
+    val quota: QuotaBounds = QuotaBounds(),
+    val repeats: RepeatBounds = RepeatBounds(),
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/ControlHandler.kt
@@ -0,0 +1,58 @@
+package fireflyhinge.gateway.fleet
+
+import com.fasterxml.jackson.core.JsonProcessingException
+import fireflyhinge.forward.FeedAnswer
+import fireflyhinge.forward.ForwardConfig
+import fireflyhinge.forward.QuotaShares
+import fireflyhinge.gateway.http.AnswerWriter
+import fireflyhinge.gateway.http.CallerRequest
+import fireflyhinge.gateway.http.RequestHandler
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import org.slf4j.LoggerFactory
+
+/** The control interface that other VMs call. */
+internal class ControlHandler(
+    private val gossip: Gossip,
+    private val feeds: List<Feed>,
+    private val quota: QuotaShares,
+    private val config: () -> ForwardConfig?,
+) : RequestHandler {
+    private val log = LoggerFactory.getLogger(javaClass)
+
+    override suspend fun handle(request: CallerRequest, answer: AnswerWriter) {
+        val body =
+            try {
+                reply(request)
+            } catch (e: JsonProcessingException) {
+                log.atWarn().addKeyValue("path", request.uri).addKeyValue("reason", e.message).log("unreadable message")
+                return answer.whole(BAD_REQUEST, DefaultHttpHeaders(), ByteArray(0))
+            }
+        if (body == null) return answer.whole(NOT_FOUND, DefaultHttpHeaders(), ByteArray(0))
+        answer.whole(OK, DefaultHttpHeaders().add(HttpHeaderNames.CONTENT_TYPE, "application/json"), body)
+    }
+
+    private fun reply(request: CallerRequest): ByteArray? =
+        when {
+            request.uri == Gossip.EXCHANGE_PATH ->
+                PeerMessages.encode(gossip.received(PeerMessages.exchange(request.body)))
+            request.uri == Gossip.BORROW_PATH -> lend(request.body)
+            request.uri.startsWith(Gossip.FEED_PATH) ->
+                feeds.find { it.kind.name == request.uri.removePrefix(Gossip.FEED_PATH) }?.let {
+                    PeerMessages.encode(FeedAnswer.Listing(it.state.items().values.toList(), it.revision))
+                }
+            else -> null
+        }
+
+    private fun lend(body: ByteArray): ByteArray {
+        val (workspace, tokens) = PeerMessages.loan(body)
+        val lent = config()?.workspaces?.get(workspace)?.let { quota.lend(it, tokens) } ?: 0.0
+        return PeerMessages.encodeLoan(workspace, lent)
+    }
+
+    private companion object {
+        const val OK = 200
+        const val BAD_REQUEST = 400
+        const val NOT_FOUND = 404
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/FeedDialect.kt
@@ -0,0 +1,18 @@
+package fireflyhinge.gateway.fleet
+
+import fireflyhinge.forward.FeedItem
+import fireflyhinge.forward.ForwardConfig
+import fireflyhinge.forward.Replica
+import fireflyhinge.forward.VmRecord
+
+/** Reads objects of the platform's store. Entries that cannot be read are left out, with a log line. */
+interface FeedDialect {
+    /** The configuration, or null if no entry holds a valid one. */
+    fun config(items: Collection<FeedItem>): ForwardConfig?
+
+    /** Replicas that can be used. */
+    fun replicas(items: Collection<FeedItem>): List<Replica>
+
+    /** VMs that registered. */
+    fun vms(items: Collection<FeedItem>): List<VmRecord>
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
@@ -0,0 +1,126 @@
+package fireflyhinge.gateway.fleet
+
+import fireflyhinge.forward.FailureDomains
+import fireflyhinge.forward.FleetView
+import fireflyhinge.forward.VmRecord
+import fireflyhinge.gateway.http.ConnectFailed
+import kotlinx.coroutines.delay
+import org.slf4j.LoggerFactory
+import java.io.IOException
+import kotlin.random.Random
+
+/** Exchanges news with other VMs and fetches newer copies of the store's objects from them. */
+internal class Gossip(
+    private val fleet: FleetView,
+    private val domains: FailureDomains,
+    private val peers: PeerClient,
+    private val feeds: List<Feed>,
+    private val seeds: () -> List<String>,
+    private val ready: () -> Boolean,
+) {
+    private val log = LoggerFactory.getLogger(javaClass)
+    private var round = 0L
+    private var seedNumber = 0
+
+    /** Exchanges that were answered; none means that this VM may not know the others yet. */
+    var answered = 0
+        private set
+
+    /** Exchanges until cancelled. */
+    suspend fun run() {
+        while (true) {
+            round()
+            delay(ROUND_MILLIS * 3 / 4 + Random.nextLong(ROUND_MILLIS / 2))
+        }
+    }
+
+    private suspend fun round() {
+        fleet.beat(ready())
+        feeds.forEach { it.settle() }
+        round++
+        partner()?.let { exchange(it) }
+    }
+
+    /** Tells the state of this VM to all others at once; used when it begins or stops to take requests. */
+    suspend fun announce() {
+        fleet.beat(ready())
+        fleet.live().take(MOST_TOLD).forEach { exchange(it.control) }
+    }
+
+    /** Mostly VMs of the own region: the link between regions is narrow. Seeds are asked while nobody is known. */
+    private fun partner(): String? {
+        val known = fleet.all().filter { it.name != fleet.self.name }
+        if (known.isEmpty() || round % SEED_ROUNDS == 0L) {
+            val others = seeds().filter { it != fleet.self.control }
+            if (others.isNotEmpty() && (known.isEmpty() || known.none { it.control in others })) {
+                return others[seedNumber++ % others.size]
+            }
+        }
+        val local = known.filter { domains.distance(it.failureDomain) < 2 }
+        val pool = if (round % REMOTE_ROUNDS == 0L || local.isEmpty()) known else local
+        return pool.randomOrNull()?.control
+    }
+
+    private suspend fun exchange(address: String) {
+        try {
+            val answer = PeerMessages.exchange(peers.post(address, EXCHANGE_PATH, PeerMessages.encode(own())))
+            answered++
+            take(answer, address)
+        } catch (e: ConnectFailed) {
+            if (e.refused) fleet.all().find { it.control == address }?.let { fleet.refused(it.name) }
+            log.debug("an exchange failed: {}", e.message)
+        } catch (e: IOException) {
+            log.debug("an exchange failed: {}", e.message)
+        }
+    }
+
+    /** What this VM tells others. */
+    fun own() = PeerExchange(fleet.all(), feeds.associate { it.kind to it.revision })
+
+    /** Another VM sent [theirs] and gets the answer. */
+    fun received(theirs: PeerExchange): PeerExchange {
+        fleet.merge(theirs.vms)
+        return own()
+    }
+
+    private suspend fun take(theirs: PeerExchange, address: String) {
+        fleet.merge(theirs.vms)
+        for (feed in feeds) {
+            if (!feed.behind(theirs.revisions[feed.kind] ?: 0)) continue
+            feed.adopt(PeerMessages.listing(peers.get(address, FEED_PATH + feed.kind.name)), address)
+        }
+    }
+
+    /** Borrows [tokens] of [workspace] from one of a few VMs, near ones first. */
+    suspend fun borrow(workspace: String, tokens: Double): Double {
+        val lenders = fleet.live().shuffled().sortedBy { domains.distance(it.failureDomain) }.take(MOST_LENDERS)
+        for (vm in lenders) lend(vm, workspace, tokens).let { if (it > 0) return it }
+        return 0.0
+    }
+
+    private suspend fun lend(vm: VmRecord, workspace: String, tokens: Double): Double =
+        try {
+            val body = PeerMessages.encodeLoan(workspace, tokens)
+            PeerMessages.loan(peers.post(vm.control, BORROW_PATH, body, BORROW_MILLIS)).second
+        } catch (e: IOException) {
+            log.atInfo().addKeyValue("vm", vm.name).addKeyValue("reason", e.message).log("a loan was not answered")
+            0.0
+        }
+
+    companion object {
+        /** Paths of the control interface. */
+        const val EXCHANGE_PATH = "/peer/v1/exchange"
+        const val FEED_PATH = "/peer/v1/feed/"
+        const val BORROW_PATH = "/peer/v1/borrow"
+
+        /** One exchange in this time: news reach eight VMs in about two seconds, at two messages a VM and second. */
+        private const val ROUND_MILLIS = 400L
+        private const val SEED_ROUNDS = 10L
+
+        /** One exchange of four may leave the region. */
+        private const val REMOTE_ROUNDS = 4L
+        private const val MOST_TOLD = 16
+        private const val MOST_LENDERS = 2
+        private const val BORROW_MILLIS = 150L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Attempt.kt
@@ -0,0 +1,40 @@
+package fireflyhinge.gateway.forward
+
+import fireflyhinge.forward.Admission
+import fireflyhinge.forward.RequestFacts
+import fireflyhinge.gateway.http.CallerRequest
+import fireflyhinge.gateway.http.nowMillis
+
+/**
+ * One request of a caller on its way through the system. Used by one coroutine.
+ *
+ * @property endsAtMillis monotonic time at which the request must have its final answer.
+ */
+internal class Attempt(
+    val request: CallerRequest,
+    val facts: RequestFacts,
+    val admission: Admission,
+    val service: String,
+    val endsAtMillis: Long,
+) {
+    private var runs = 0
+
+    /** Whether a replica may have begun to run the request. */
+    val mayHaveRun: Boolean get() = runs > 0
+
+    /** Replicas that were tried, with what became of it; for the log. */
+    val trail = ArrayList<String>()
+
+    /** Milliseconds until the end. */
+    val remaining: Long get() = endsAtMillis - nowMillis()
+
+    /** The request is about to be sent to a replica that will run it. */
+    fun sending() {
+        runs++
+    }
+
+    /** A send that was counted by [sending] reached no replica, or the replica states that it did not run it. */
+    fun didNotRun() {
+        runs--
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeOutcome.kt
@@ -0,0 +1,21 @@
+package fireflyhinge.gateway.forward
+
+/** How one run at a decode replica ended. */
+internal sealed interface DecodeOutcome {
+    /** The stream came to its end and was handed on. */
+    data object Whole : DecodeOutcome
+
+    /** The replica answered with something else than a stream. */
+    class Other(val answer: ForwardResult.Answer) : DecodeOutcome {
+        override fun toString() = "status ${answer.status}"
+    }
+
+    /** The replica states that it did not run the request. */
+    data class NotRun(val otherReplica: Boolean) : DecodeOutcome
+
+    /** Nothing was sent. */
+    data class NotSent(val reason: String) : DecodeOutcome
+
+    /** The run broke off or fell silent. */
+    data class Lost(val reason: String) : DecodeOutcome
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Forwarder.kt
@@ -0,0 +1,124 @@
+package fireflyhinge.gateway.forward
+
+import fireflyhinge.forward.Admission
+import fireflyhinge.forward.CallKind
+import fireflyhinge.forward.ForwardConfig
+import fireflyhinge.forward.RequestFacts
+import fireflyhinge.gateway.http.AnswerWriter
+import fireflyhinge.gateway.http.CallerRequest
+import fireflyhinge.gateway.http.ErrorAnswer
+import fireflyhinge.gateway.http.RequestHandler
+import fireflyhinge.gateway.http.nowMillis
+import fireflyhinge.result.Outcome
+import fireflyhinge.result.ResultCode
+import io.netty.handler.codec.http.HttpHeaderNames
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.random.Random
+
+/** Takes each request of a caller through admission, charge and forwarding, and writes the answer. */
+internal class Forwarder(
+    private val config: () -> ForwardConfig?,
+    private val callers: CallerDialect,
+    private val replicas: ReplicaDialect,
+    private val quota: QuotaGate,
+    private val plain: PlainForwarder,
+    private val streams: StreamForwarder,
+    private val journal: RequestJournal,
+) : RequestHandler {
+    override suspend fun handle(request: CallerRequest, answer: AnswerWriter) {
+        val facts =
+            when (val read = callers.facts(request.headers)) {
+                is Outcome.Failure -> return refuse(request, null, read, answer)
+                is Outcome.Success -> read.value
+            }
+        val current = config()
+        if (current == null) {
+            val failure = Outcome.Failure(ResultCode.CONFIGURATION_UNKNOWN, retryAfterMillis = NO_CONFIG_MILLIS)
+            return refuse(request, facts, failure, answer)
+        }
+        val host = request.headers.get(HttpHeaderNames.HOST).orEmpty()
+        when (val admitted = Admission.of(current, host, request.uri, facts)) {
+            is Outcome.Failure -> refuse(request, facts, admitted, answer)
+            is Outcome.Success -> charged(request, facts, admitted.value, answer)
+        }
+    }
+
+    private suspend fun charged(
+        request: CallerRequest,
+        facts: RequestFacts,
+        admission: Admission,
+        answer: AnswerWriter,
+    ) {
+        val route = admission.route
+        val service = route.target(Random.nextDouble())
+        val time = minOf(route.timeoutMillis, facts.deadlineMillis ?: route.timeoutMillis)
+        val attempt = Attempt(request, facts, admission, service.orEmpty(), request.arrivedMillis + time)
+        val cost = admission.cost(facts).toDouble()
+        val wait = admission.workspace?.let { quota.charge(it, cost) }
+        if (wait != null) {
+            val failure = Outcome.Failure(ResultCode.RATE_EXCEEDED, retryAfterMillis = wait)
+            journal.ended(attempt, failure.code.label)
+            return write(failure, facts.requestId, answer)
+        }
+        try {
+            forward(attempt, answer)
+        } catch (e: CancellationException) {
+            journal.ended(attempt, "caller left")
+            throw e
+        } finally {
+            if (!attempt.mayHaveRun) admission.workspace?.let { quota.giveBack(it, cost) }
+        }
+    }
+
+    private suspend fun forward(attempt: Attempt, answer: AnswerWriter) {
+        val result =
+            withTimeoutOrNull(maxOf(1, attempt.remaining)) {
+                if (attempt.admission.route.kind == CallKind.STREAM) {
+                    streams.run(attempt, answer)
+                } else {
+                    plain.run(attempt)
+                }
+            }
+        when (result) {
+            is ForwardResult.Answer -> {
+                journal.ended(attempt, result.status.toString())
+                answer.whole(result.status, replicas.toCaller(result.headers), result.body)
+            }
+            ForwardResult.Streamed -> journal.ended(attempt, "streamed")
+            is ForwardResult.Broken -> breakOff(attempt, answer, result.reason)
+            is ForwardResult.Failed -> fail(attempt, Refusals.truthful(result.failure, attempt), answer)
+            null -> if (answer.started) breakOff(attempt, answer, "time over") else fail(attempt, Refusals.late(attempt), answer)
+        }
+    }
+
+    private fun breakOff(attempt: Attempt, answer: AnswerWriter, reason: String) {
+        journal.ended(attempt, "broken off: $reason")
+        answer.abort()
+    }
+
+    private suspend fun fail(attempt: Attempt, failure: Outcome.Failure, answer: AnswerWriter) {
+        journal.ended(attempt, failure.code.label)
+        write(failure, attempt.facts.requestId, answer)
+    }
+
+    private suspend fun refuse(
+        request: CallerRequest,
+        facts: RequestFacts?,
+        failure: Outcome.Failure,
+        answer: AnswerWriter,
+    ) {
+        journal.refused(request, facts, failure, config()?.version)
+        write(failure, facts?.requestId, answer)
+    }
+
+    private suspend fun write(failure: Outcome.Failure, requestId: String?, answer: AnswerWriter) {
+        val error = ErrorAnswer.of(failure.code, failure.detail, requestId, failure.retryAfterMillis)
+        answer.whole(failure.code.httpStatus, error.headers, error.body)
+    }
+
+    private companion object {
+        /** A VM that starts has the configuration within about this time. */
+        const val NO_CONFIG_MILLIS = 500L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
@@ -0,0 +1,112 @@
+package fireflyhinge.gateway.forward
+
+import fireflyhinge.forward.ReplicaStage
+import fireflyhinge.forward.ReplicaState
+import fireflyhinge.result.Outcome
+import fireflyhinge.result.ResultCode
+
+/** Forwards requests that are answered whole to replicas of plain services. */
+internal class PlainForwarder(private val pools: ReplicaPools, private val sender: ReplicaSender) {
+    private class Tries {
+        val avoid = HashSet<String>()
+        var sends = 0
+        var unreachable = 0
+        var failedAnswer: ForwardResult.Answer? = null
+        var last = Outcome.Failure(ResultCode.NO_UPSTREAM, retryAfterMillis = NO_REPLICA_MILLIS)
+    }
+
+    /** Sends the request to replicas until one answers it or no other try is allowed. */
+    suspend fun run(attempt: Attempt): ForwardResult {
+        pools.repeats.requested(attempt.service)
+        val tries = Tries()
+        while (mayTry(attempt, tries)) {
+            val state = pools.chooser.choose(attempt.service, ReplicaStage.PLAIN, tries.avoid) ?: break
+            if (tries.sends > 0 && !pools.repeats.take(attempt.service)) break
+            tries.avoid += state.replica.id
+            send(attempt, tries, state)?.let { return it }
+        }
+        return tries.failedAnswer ?: ForwardResult.Failed(tries.last)
+    }
+
+    private fun mayTry(attempt: Attempt, tries: Tries): Boolean {
+        val allowed = tries.sends < attempt.admission.route.maxAttempts && tries.unreachable < MOST_UNREACHABLE
+        return allowed && attempt.remaining > 0 && (attempt.admission.route.repeatable || !attempt.mayHaveRun)
+    }
+
+    /** Sends once; null if another try may follow. */
+    private suspend fun send(attempt: Attempt, tries: Tries, state: ReplicaState): ForwardResult? {
+        val call = ReplicaCall(state.replica.id, attempt.admission.workspace?.name, attempt.remaining)
+        attempt.sending()
+        val result = sender.whole(state, attempt.request, call, patience(attempt, tries))
+        val id = state.replica.id
+        return when (result) {
+            is SendResult.Answered -> answered(attempt, tries, state, result)
+            is SendResult.NotSent -> {
+                attempt.trail += "$id unreachable"
+                attempt.didNotRun()
+                tries.unreachable++
+                state.silent()
+                tries.last = Outcome.Failure(ResultCode.NO_UPSTREAM, result.reason, NO_REPLICA_MILLIS)
+                null
+            }
+            is SendResult.Lost -> {
+                attempt.trail += "$id lost: ${result.reason}"
+                tries.sends++
+                state.silent()
+                tries.last = Outcome.Failure(ResultCode.ATTEMPTS_FAILED, result.reason)
+                null
+            }
+        }
+    }
+
+    private fun answered(
+        attempt: Attempt,
+        tries: Tries,
+        state: ReplicaState,
+        result: SendResult.Answered,
+    ): ForwardResult? {
+        attempt.trail += "${state.replica.id} ${result.status}${if (result.facts.notRun) " not run" else ""}"
+        result.facts.load?.let(state::reported)
+        if (result.facts.notRun) {
+            attempt.didNotRun()
+            // Another process at the address did not get the request as its replica.
+            if (result.facts.otherReplica) tries.unreachable++ else tries.sends++
+            if (result.facts.otherReplica) state.silent() else state.full()
+            tries.last = Outcome.Failure(ResultCode.CAPACITY_EXHAUSTED, retryAfterMillis = FULL_MILLIS)
+            return null
+        }
+        tries.sends++
+        val good = result.status < SERVER_ERROR
+        state.answered(good)
+        val answer = ForwardResult.Answer(result.status, result.headers, result.body)
+        if (good || !attempt.admission.route.repeatable) return answer
+        tries.failedAnswer = answer
+        return null
+    }
+
+    /** A repeatable request that may be sent again does not wait for a silent replica until its end. */
+    private fun patience(attempt: Attempt, tries: Tries): Long {
+        val route = attempt.admission.route
+        val another = route.repeatable && tries.sends + 1 < route.maxAttempts
+        val first = maxOf(route.objectiveMillis * FIRST_PERCENT / PERCENT, LEAST_PATIENCE_MILLIS)
+        return if (another) minOf(first, attempt.remaining) else attempt.remaining
+    }
+
+    private companion object {
+        const val SERVER_ERROR = 500
+
+        /** Part of the objective that the first try may take; the rest is enough for an ordinary answer. */
+        const val FIRST_PERCENT = 60
+        const val PERCENT = 100
+
+        /** Requests of plain services take tens of milliseconds; sooner, a retry would hit ordinary slow ones. */
+        const val LEAST_PATIENCE_MILLIS = 150L
+
+        /** Replicas that cannot be reached before a request is given up. */
+        const val MOST_UNREACHABLE = 3
+
+        /** When a caller may come back: after the next try of a replica that failed, and when places are free. */
+        const val NO_REPLICA_MILLIS = 500L
+        const val FULL_MILLIS = 200L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaCall.kt
@@ -0,0 +1,22 @@
+package fireflyhinge.gateway.forward
+
+import fireflyhinge.forward.PrefilledCache
+
+/**
+ * What the system tells a replica besides the caller's own request.
+ *
+ * @property replicaId the replica that is meant; any other process at the address refuses.
+ * @property workspace workspace for which the request runs, or null on a public route.
+ * @property remainingMillis time that is left for the request.
+ * @property prefill whether only the prompt is read.
+ * @property cache KV cache to be fetched before decoding, or null.
+ * @property lastEvent last event of a stream that the caller has, or null.
+ */
+data class ReplicaCall(
+    val replicaId: String,
+    val workspace: String?,
+    val remainingMillis: Long,
+    val prefill: Boolean = false,
+    val cache: PrefilledCache? = null,
+    val lastEvent: Long? = null,
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaDialect.kt
@@ -0,0 +1,25 @@
+package fireflyhinge.gateway.forward
+
+import fireflyhinge.forward.PrefilledCache
+import io.netty.handler.codec.http.HttpHeaders
+
+/** Writes requests to replicas and reads their answers. */
+interface ReplicaDialect {
+    /** Headers of the request that a replica gets for a caller's request with [headers]. */
+    fun request(headers: HttpHeaders, call: ReplicaCall): HttpHeaders
+
+    /** Id of the caller's request with [headers]. */
+    fun requestId(headers: HttpHeaders): String?
+
+    /** What the head of an answer says. */
+    fun reply(status: Int, headers: HttpHeaders): ReplyFacts
+
+    /** Headers that a caller gets for an answer with [headers]. */
+    fun toCaller(headers: HttpHeaders): HttpHeaders
+
+    /** The KV cache that a prefill at [address] left, or null if [body] does not name one. */
+    fun cache(address: String, body: ByteArray): PrefilledCache?
+
+    /** Path of the `DELETE` call that frees [cache]. */
+    fun releasePath(cache: PrefilledCache): String
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaPools.kt
@@ -0,0 +1,8 @@
+package fireflyhinge.gateway.forward
+
+import fireflyhinge.forward.RepeatShares
+import fireflyhinge.forward.ReplicaChooser
+import fireflyhinge.forward.ReplicaTable
+
+/** What is needed to choose replicas and to repeat sends. */
+internal class ReplicaPools(val table: ReplicaTable, val chooser: ReplicaChooser, val repeats: RepeatShares)
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -0,0 +1,143 @@
+package fireflyhinge.gateway.forward
+
+import fireflyhinge.forward.EventOrder
+import fireflyhinge.forward.PrefilledCache
+import fireflyhinge.forward.ReplicaStage
+import fireflyhinge.forward.ReplicaState
+import fireflyhinge.gateway.http.AnswerWriter
+import fireflyhinge.result.Outcome
+import fireflyhinge.result.ResultCode
+
+/** Forwards model requests: the prompt is read by a prefill replica, the answer written by a decode replica. */
+internal class StreamForwarder(private val pools: ReplicaPools, private val sender: ReplicaSender) {
+    private class Tries(lastEvent: Long?) {
+        val order = EventOrder(lastEvent)
+        val avoid = HashSet<String>()
+        var sends = 0
+        var unreachable = 0
+        var last = Outcome.Failure(ResultCode.NO_UPSTREAM, retryAfterMillis = NO_REPLICA_MILLIS)
+    }
+
+    private val prefills = PrefillStep(pools, sender)
+
+    /** Prefills, decodes, and hands the events on to [answer]; a resumable stream that breaks goes on elsewhere. */
+    suspend fun run(attempt: Attempt, answer: AnswerWriter): ForwardResult {
+        pools.repeats.requested(attempt.service)
+        val tries = Tries(attempt.facts.lastEvent)
+        var cache: PrefilledCache? = prefills.run(attempt)
+        try {
+            while (mayTry(attempt, tries)) {
+                val near = cache?.let { prefills.domainOf(attempt.service, it) }
+                val state = pools.chooser.choose(attempt.service, ReplicaStage.DECODE, tries.avoid, near) ?: break
+                if (tries.sends > 0 && !pools.repeats.take(attempt.service)) break
+                val fetched = cache
+                val result = decode(attempt, tries, state, fetched, answer)
+                if (result is Decoded.Ended) return result.value.also { cache = null }
+                // A cache can be fetched once, and after a failure it is not known whether it was.
+                if (result is Decoded.Spent || result is Decoded.CacheLost) cache = null
+                if (result !is Decoded.CacheLost) tries.avoid += state.replica.id
+            }
+        } finally {
+            cache?.let(sender::release)
+        }
+        return if (answer.started) ForwardResult.Broken(tries.last.detail) else ForwardResult.Failed(tries.last)
+    }
+
+    private fun mayTry(attempt: Attempt, tries: Tries): Boolean {
+        val route = attempt.admission.route
+        val allowed = tries.avoid.size < route.maxAttempts + tries.unreachable && tries.unreachable < MOST_UNREACHABLE
+        return allowed && attempt.remaining > 0 && (route.resumable || !attempt.mayHaveRun)
+    }
+
+    private suspend fun decode(
+        attempt: Attempt,
+        tries: Tries,
+        state: ReplicaState,
+        cache: PrefilledCache?,
+        answer: AnswerWriter,
+    ): Decoded {
+        val id = state.replica.id
+        val call =
+            ReplicaCall(
+                replicaId = id,
+                workspace = attempt.admission.workspace?.name,
+                remainingMillis = attempt.remaining,
+                cache = cache,
+                lastEvent = tries.order.last,
+            )
+        attempt.sending()
+        val another = attempt.admission.route.resumable && tries.sends + 1 < attempt.admission.route.maxAttempts
+        val session = DecodeSession(sender, attempt, tries.order, answer, patient = !another)
+        val outcome = session.run(state, call)
+        attempt.trail += "decode $id $outcome"
+        return when (outcome) {
+            is DecodeOutcome.Whole -> Decoded.Ended(ForwardResult.Streamed).also { state.answered(good = true) }
+            is DecodeOutcome.Other -> other(tries, state, outcome, another)
+            is DecodeOutcome.NotRun -> notRun(attempt, tries, state, outcome, cache != null)
+            is DecodeOutcome.NotSent -> {
+                attempt.didNotRun()
+                tries.unreachable++
+                state.silent()
+                tries.last = Outcome.Failure(ResultCode.NO_UPSTREAM, outcome.reason, NO_REPLICA_MILLIS)
+                Decoded.Kept
+            }
+            is DecodeOutcome.Lost -> {
+                tries.sends++
+                state.silent()
+                tries.last = Outcome.Failure(ResultCode.ATTEMPTS_FAILED, outcome.reason)
+                Decoded.Spent
+            }
+        }
+    }
+
+    private fun notRun(
+        attempt: Attempt,
+        tries: Tries,
+        state: ReplicaState,
+        outcome: DecodeOutcome.NotRun,
+        withCache: Boolean,
+    ): Decoded {
+        attempt.didNotRun()
+        tries.last = Outcome.Failure(ResultCode.CAPACITY_EXHAUSTED, retryAfterMillis = FULL_MILLIS)
+        if (outcome.otherReplica) {
+            tries.unreachable++
+            state.silent()
+            return Decoded.Kept
+        }
+        tries.sends++
+        // The cache may have lapsed, which the answer does not tell apart from a full replica: try without it first.
+        if (withCache) return Decoded.CacheLost
+        state.full()
+        return Decoded.Kept
+    }
+
+    private fun other(tries: Tries, state: ReplicaState, outcome: DecodeOutcome.Other, another: Boolean): Decoded {
+        tries.sends++
+        val good = outcome.answer.status < SERVER_ERROR
+        state.answered(good)
+        if (good || !another) return Decoded.Ended(outcome.answer)
+        tries.last = Outcome.Failure(ResultCode.UPSTREAM_FAILED)
+        return Decoded.Spent
+    }
+
+    private sealed interface Decoded {
+        class Ended(val value: ForwardResult) : Decoded
+
+        data object CacheLost : Decoded
+
+        data object Spent : Decoded
+
+        data object Kept : Decoded
+    }
+
+    private companion object {
+        const val SERVER_ERROR = 500
+
+        /** Replicas that cannot be reached before a request is given up. */
+        const val MOST_UNREACHABLE = 3
+
+        /** When a caller may come back: after the next try of a replica that failed, and when places are free. */
+        const val NO_REPLICA_MILLIS = 500L
+        const val FULL_MILLIS = 300L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
@@ -0,0 +1,98 @@
+package fireflyhinge.gateway.http
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import java.net.ConnectException
+import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Connections to servers, opened when needed and kept for the next request. Thread-safe. */
+internal class ConnectionPool(private val io: Io, private val connectMillis: Int = CONNECT_MILLIS) {
+    private class Server {
+        val open = AtomicInteger()
+        val idle = ArrayDeque<OutboundConnection>()
+    }
+
+    private val servers = ConcurrentHashMap<String, Server>()
+
+    /** Connections to [address] that are open, idle ones included. */
+    fun open(address: String): Int = servers[address]?.open?.get() ?: 0
+
+    /** Whether a request to [address] needs no new connection. */
+    fun hasIdle(address: String): Boolean =
+        servers[address]?.let { server -> synchronized(server) { server.idle.any { it.reusable } } } ?: false
+
+    /** A connection to [address]: the one used last, or a new one. Throws [ConnectFailed]. */
+    suspend fun acquire(address: String): OutboundConnection {
+        val server = servers.computeIfAbsent(address) { Server() }
+        while (true) {
+            val kept = synchronized(server) { server.idle.removeLastOrNull() } ?: break
+            if (kept.reusable) return kept
+            kept.close()
+        }
+        return connect(address, server)
+    }
+
+    /** Takes back [connection] after a whole answer. */
+    fun release(connection: OutboundConnection) {
+        if (!connection.release()) return
+        val server = servers.computeIfAbsent(connection.address) { Server() }
+        synchronized(server) { server.idle.addLast(connection) }
+    }
+
+    private suspend fun connect(address: String, server: Server): OutboundConnection {
+        val future =
+            Bootstrap()
+                .group(io.loop)
+                .channel(NioSocketChannel::class.java)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
+                .also { boot -> SocketOptions.outbound.forEach { (option, value) -> boot.set(option, value) } }
+                .handler(Codec())
+                .connect(InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt()))
+        try {
+            future.done()
+        } catch (e: java.io.IOException) {
+            val cause = future.cause() ?: e
+            throw ConnectFailed("$address: ${cause.message}", refused = cause is ConnectException && cause !is Timeout)
+        } finally {
+            // Cancelled while connecting: nobody would close the connection.
+            if (!future.isSuccess) future.channel().close()
+        }
+        return track(OutboundConnection(future.channel(), address), server)
+    }
+
+    private fun track(connection: OutboundConnection, server: Server): OutboundConnection {
+        server.open.incrementAndGet()
+        connection.onClosed = {
+            server.open.decrementAndGet()
+            synchronized(server) { server.idle.remove(connection) }
+        }
+        return connection
+    }
+
+    @Suppress("UNCHECKED_CAST")
+    private fun Bootstrap.set(option: ChannelOption<*>, value: Any) = option(option as ChannelOption<Any>, value)
+
+    private class Codec : ChannelInitializer<Channel>() {
+        override fun initChannel(channel: Channel) {
+            channel.pipeline().addLast(HttpClientCodec(MOST_LINE, MOST_HEADERS, MOST_CHUNK))
+        }
+    }
+
+    private companion object {
+        /** Ten round trips between regions, so that a silent server costs a request a third of its objective. */
+        const val CONNECT_MILLIS = 350
+
+        /** Bytes of a status line, of all headers, and of a piece of a body. */
+        const val MOST_LINE = 4_096
+        const val MOST_HEADERS = 32_768
+        const val MOST_CHUNK = 16_384
+    }
+}
+
+private typealias Timeout = io.netty.channel.ConnectTimeoutException
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/ErrorAnswer.kt
@@ -0,0 +1,34 @@
+package fireflyhinge.gateway.http
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory
+import fireflyhinge.result.ResultCode
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import java.util.Locale
+
+/** An answer that reports a numbered result code, in the form that docs/result-codes.md describes. */
+internal class ErrorAnswer private constructor(val headers: HttpHeaders, val body: ByteArray) {
+    companion object {
+        private const val MILLIS_PER_SECOND = 1000.0
+
+        /** The answer for [code]. [retryAfterMillis] tells the caller when to come back. */
+        fun of(code: ResultCode, detail: String, requestId: String?, retryAfterMillis: Long? = null): ErrorAnswer {
+            val error =
+                JsonNodeFactory.instance
+                    .objectNode()
+                    .put("code", code.label)
+                    .put("message", if (detail.isEmpty()) code.text else "${code.text} $detail")
+                    .put("type", code.name.lowercase())
+                    .put("run", code.run.wire)
+                    .put("request_id", requestId)
+            val body = JsonNodeFactory.instance.objectNode().set<com.fasterxml.jackson.databind.JsonNode>("error", error)
+            val headers = DefaultHttpHeaders()
+            headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+            retryAfterMillis?.let { headers.set(HttpHeaderNames.RETRY_AFTER, seconds(it)) }
+            return ErrorAnswer(headers, body.toString().toByteArray())
+        }
+
+        private fun seconds(millis: Long): String = String.format(Locale.ROOT, "%.2f", millis / MILLIS_PER_SECOND)
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpListener.kt
@@ -0,0 +1,96 @@
+package fireflyhinge.gateway.http
+
+import fireflyhinge.forward.CallerLimits
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpServerCodec
+import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+
+/** A port at which requests are read and answered. */
+class HttpListener(
+    private val io: Io,
+    private val address: InetSocketAddress,
+    private val limits: () -> CallerLimits = { CallerLimits() },
+    private val handler: RequestHandler,
+) {
+    private val connections = ConcurrentHashMap.newKeySet<CallerConnection>()
+    private val heldBytes = AtomicLong()
+    private var server: Channel? = null
+
+    /** Set while the process stops: answers then announce the close of their connection. */
+    @Volatile
+    var draining = false
+
+    /** Requests that are being answered. */
+    val inFlight: Int get() = connections.count { it.answering }
+
+    /** Open connections. */
+    val open: Int get() = connections.size
+
+    /** The port that is listened on; valid after [start]. */
+    val port: Int get() = (server!!.localAddress() as InetSocketAddress).port
+
+    /** Opens the port. */
+    fun start(): HttpListener {
+        server =
+            ServerBootstrap()
+                .group(io.loop)
+                .channel(NioServerSocketChannel::class.java)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(Pipeline())
+                .bind(address)
+                .sync()
+                .channel()
+        io.loop.scheduleWithFixedDelay(::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS)
+        return this
+    }
+
+    /** Closes the port and the connections on which no request is read or answered. */
+    fun stopAccepting() {
+        server?.close()
+        connections.forEach { it.closeIfIdle() }
+    }
+
+    private fun sweep() {
+        val now = limits()
+        connections.forEach { it.checkTimes(now) }
+    }
+
+    private inner class Pipeline : ChannelInitializer<Channel>() {
+        override fun initChannel(channel: Channel) {
+            val config = HttpDecoderConfig().setMaxInitialLineLength(MOST_LINE).setMaxHeaderSize(limits().headerBytes)
+            val connection =
+                CallerConnection(
+                    io,
+                    channel,
+                    limits,
+                    handler,
+                    { draining },
+                    MemoryLimit(heldBytes, MOST_HELD_BYTES),
+                )
+            connections += connection
+            channel.closeFuture().addListener { connections -= connection }
+            channel.pipeline().addLast(HttpServerCodec(config), connection)
+        }
+    }
+
+    private companion object {
+        const val BACKLOG = 512
+        const val SWEEP_MILLIS = 500L
+
+        /** Bytes of a request line. */
+        const val MOST_LINE = 8_192
+
+        /** Bytes of all bodies that are read or answered at a time; a third of the smallest VM's heap. */
+        const val MOST_HELD_BYTES = 40L * 1024 * 1024
+    }
+}
