Reserve a decode place before reading a prompt; share load and quota between VMs

Change: places are taken at the decode replica first, VMs exchange their tokens at replicas, loans are partial and come from several VMs, a request waits a third of its objective.

--- a/core/src/main/kotlin/fireflyhinge/forward/FleetView.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/FleetView.kt
@@ -13,12 +13,17 @@
     /** The record of this VM. */
     val self: VmRecord @Synchronized get() = own
 
-    /** Raises the beat of this VM and sets whether it takes requests. */
+    /** Raises the beat of this VM and sets whether it takes requests, and its [tokens] at replicas. */
     @Synchronized
-    fun beat(ready: Boolean) {
-        own = own.copy(beat = own.beat + 1, ready = ready)
+    fun beat(ready: Boolean, tokens: Map<String, Long> = emptyMap()) {
+        own = own.copy(beat = own.beat + 1, ready = ready, tokens = tokens)
     }
 
+    /** Tokens that other VMs that run have at each replica. */
+    @Synchronized
+    fun othersTokens(): Map<String, Long> =
+        live().flatMap { it.tokens.entries }.groupingBy { it.key }.fold(0L) { sum, entry -> sum + entry.value }
+
     /** Takes over [records] that are newer than those held. */
     @Synchronized
     fun merge(records: Collection<VmRecord>) {
--- a/core/src/main/kotlin/fireflyhinge/forward/QuotaShare.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/QuotaShare.kt
@@ -9,7 +9,8 @@
         private set
 
     fun advance(now: Long) {
-        if (now > at) level = minOf(depth, level + rate * (now - at) / MILLIS_PER_SECOND)
+        val accrued = rate * (now - at) / MILLIS_PER_SECOND
+        if (now > at && level < depth) level = minOf(depth, level + accrued)
         at = maxOf(at, now)
     }
 
@@ -19,8 +20,9 @@
         return true
     }
 
+    /** Adds tokens that were taken before, here or on another VM; none of them is lost at the depth. */
     fun add(tokens: Double) {
-        level = minOf(depth, level + tokens)
+        level += tokens
     }
 
     private companion object {
--- a/core/src/main/kotlin/fireflyhinge/forward/QuotaShares.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/QuotaShares.kt
@@ -31,16 +31,20 @@
         if (workspace.limit.ratePerSecond > 0) share(workspace).add(tokens)
     }
 
-    /** Takes up to [wanted] tokens for another VM, at most half of what this VM holds. Returns how many. */
+    /** Takes up to [wanted] tokens for another VM. Returns how many. */
     @Synchronized
     fun lend(workspace: ForwardWorkspace, wanted: Double): Double {
         if (workspace.limit.ratePerSecond <= 0) return 0.0
         val share = share(workspace)
-        val lent = minOf(wanted, share.level * LENDABLE_PART)
-        if (lent < wanted || !share.take(lent)) return 0.0
-        return lent
+        val lent = minOf(wanted, share.level)
+        return if (lent >= 1 && share.take(lent)) lent else 0.0
     }
 
+    /** Tokens by which this VM's share falls short of [tokens]. */
+    @Synchronized
+    fun missing(workspace: ForwardWorkspace, tokens: Double): Double =
+        if (workspace.limit.ratePerSecond <= 0) 0.0 else maxOf(0.0, tokens - share(workspace).level)
+
     /** Milliseconds until this VM's share holds [tokens], at most [LONGEST_WAIT_MILLIS]. */
     @Synchronized
     fun waitFor(workspace: ForwardWorkspace, tokens: Double): Long {
@@ -64,7 +68,7 @@
         return share
     }
 
-    /** Depth of all buckets together: the burst and half of the tolerated excess; the rest covers restarted VMs. */
+    /** Depth of all buckets together: the burst and most of the tolerated excess; the rest covers restarted VMs. */
     private fun depth(limit: WorkspaceLimit): Double {
         val tolerated = bounds.overage * limit.ratePerSecond * bounds.windowMillis / MILLIS_PER_SECOND
         return limit.burst + (tolerated + bounds.slackTokens) * EXCESS_PART
@@ -74,13 +78,10 @@
         const val MILLIS_PER_SECOND = 1000.0
 
         /** Part of the tolerated excess that buckets hold. */
-        const val EXCESS_PART = 0.5
+        const val EXCESS_PART = 0.8
 
         /** Part of its depth that a restarted VM begins with. */
-        const val RESTART_PART = 0.25
-
-        /** Part of its level that a VM lends; the rest serves its own callers. */
-        const val LENDABLE_PART = 0.5
+        const val RESTART_PART = 0.1
 
         const val SHORTEST_WAIT_MILLIS = 100L
         const val LONGEST_WAIT_MILLIS = 3_000L
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaChooser.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaChooser.kt
@@ -2,10 +2,15 @@
 
 import kotlin.random.Random
 
-/** Chooses the replica for a request by load, health and distance. */
+/**
+ * Chooses the replica for a request by load, health and distance.
+ *
+ * @param capacity tokens that the memory of a replica of a service holds; 0 for a plain service.
+ */
 class ReplicaChooser(
     private val table: ReplicaTable,
     private val domains: FailureDomains,
+    private val capacity: (String) -> Int = { 0 },
     private val random: Random = Random.Default,
 ) {
     /**
@@ -21,10 +26,24 @@
     ): ReplicaState? {
         val all = table.usable(service, stage).filter { it.replica.id !in avoid }
         val reachable = if (near == null) all else all.filter { domains.distance(it.replica.failureDomain, near) < 2 }
-        val sound = reachable.filterNot { it.shunned() }
-        // A replica that failed lately is better than none.
-        val candidates = sound.ifEmpty { reachable }
-        return candidates.minByOrNull { it.cost() + distanceCost(it, near) + random.nextDouble() * JITTER }
+        val sound = reachable.filterNot { it.silent }
+        // A replica that failed lately is better than none, and one that is full may queue.
+        return best(service, sound.filterNot { it.full }.ifEmpty { sound }.ifEmpty { reachable }, near)
+    }
+
+    /** The best decode replica of [service], not in [avoid], with room for [tokens]; null if none has. */
+    fun withRoom(service: String, tokens: Int, avoid: Set<String>): ReplicaState? {
+        val all = table.usable(service, ReplicaStage.DECODE).filter { it.replica.id !in avoid }
+        val sound = all.filterNot { it.silent }.ifEmpty { all }.filterNot { it.full }
+        val memory = capacity(service)
+        // A request that is larger than what is left of any empty replica is tried as well.
+        val roomy = sound.filter { it.room(memory) >= tokens || it.room(memory) >= memory }
+        return best(service, roomy, near = null)
+    }
+
+    private fun best(service: String, states: List<ReplicaState>, near: String?): ReplicaState? {
+        val memory = capacity(service)
+        return states.minByOrNull { it.cost(memory) + distanceCost(it, near) + random.nextDouble() * JITTER }
     }
 
     private fun distanceCost(state: ReplicaState, near: String?): Double {
@@ -35,10 +54,11 @@
 
     private companion object {
         /**
-         * Load, in shares of a replica's places, at which a replica of the next distance becomes better. Failure
-         * domains are a millisecond apart and cost little; regions are 30 ms apart over a narrow link.
+         * Load, in shares of a replica's capacity, at which a replica of the next distance becomes better. Failure
+         * domains are a millisecond apart and cost little; regions are 30 ms apart over a narrow link, but a request
+         * that would be refused is better served there.
          */
-        val DISTANCE_COST = doubleArrayOf(0.0, 0.25, 2.0)
+        val DISTANCE_COST = doubleArrayOf(0.0, 0.1, 0.6)
 
         /** Spreads the choices of VMs that know the same, so that they do not all choose one replica. */
         const val JITTER = 0.1
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
@@ -12,25 +12,39 @@
         internal set
 
     private var inFlight = 0
+    private var ownTokens = 0L
+    private var otherTokens = 0L
     private var load: ReplicaLoad? = null
     private var loadAt = 0L
     private var failures = 0
     private var failureShare = 0.0
-    private var shunnedUntil = 0L
+    private var silentUntil = 0L
+    private var fullUntil = 0L
 
     /** Requests of this VM that the replica has now. */
     val open: Int @Synchronized get() = inFlight
 
-    /** Counts a request that is sent to the replica. */
+    /** Tokens of requests of this VM that the replica works on. */
+    val tokens: Long @Synchronized get() = ownTokens
+
+    /** Counts a request of [tokens] that is sent to the replica. */
     @Synchronized
-    fun began() {
+    fun began(tokens: Int) {
         inFlight++
+        ownTokens += tokens
     }
 
-    /** Counts the end of a request, however it ended. */
+    /** Counts the end of a request of [tokens], however it ended. */
     @Synchronized
-    fun ended() {
+    fun ended(tokens: Int) {
         inFlight--
+        ownTokens -= tokens
+    }
+
+    /** Takes over the sum of tokens that other VMs have at the replica. */
+    @Synchronized
+    fun othersHave(tokens: Long) {
+        otherTokens = tokens
     }
 
     /** Takes over the load that an answer reported. */
@@ -44,7 +58,7 @@
     @Synchronized
     fun answered(good: Boolean) {
         failures = 0
-        shunnedUntil = 0
+        silentUntil = 0
         failureShare += ((if (good) 0.0 else 1.0) - failureShare) * FAILURE_WEIGHT
     }
 
@@ -57,31 +71,47 @@
         failures++
         failureShare += (1 - failureShare) * FAILURE_WEIGHT
         val pause = minOf(FIRST_PAUSE_MILLIS shl minOf(failures - 1, MAX_DOUBLINGS), LONGEST_PAUSE_MILLIS)
-        shunnedUntil = clock.millis() + pause
+        silentUntil = clock.millis() + pause
     }
 
     /** The replica said that it is full: it is left out for [FULL_PAUSE_MILLIS]. */
     @Synchronized
     fun full() {
-        shunnedUntil = maxOf(shunnedUntil, clock.millis() + FULL_PAUSE_MILLIS)
+        fullUntil = clock.millis() + FULL_PAUSE_MILLIS
     }
 
-    /** Whether the replica is left out because of failures or because it is full. */
+    /** Whether the replica is left out because it gave no answer lately. */
+    val silent: Boolean @Synchronized get() = clock.millis() < silentUntil
+
+    /** Whether the replica said a moment ago that it is full. */
+    val full: Boolean @Synchronized get() = clock.millis() < fullUntil
+
+    /** Tokens that fit into the replica's memory of [capacity] tokens besides those known to be there. */
     @Synchronized
-    fun shunned(): Boolean = clock.millis() < shunnedUntil
+    fun room(capacity: Int): Long = capacity - ownTokens - otherTokens
 
     /**
-     * Expected wait at the replica, in units of its own places; lower is better. The load that it reported fades,
-     * because it describes the moment of an earlier answer.
+     * Expected load of the replica; 1 is a replica that is full. Replicas of models are measured by the tokens that all
+     * VMs have there, plain ones by requests. The load that a replica reported fades, because it describes the moment
+     * of an earlier answer. [capacity] is the replica's memory in tokens, or 0 for a plain one.
      */
     @Synchronized
-    fun cost(): Double {
+    fun cost(capacity: Int): Double {
+        val failing = maxOf(0.0, failureShare - TOLERATED_FAILURES) * FAILURE_COST
+        return (if (capacity > 0) tokenLoad(capacity) else requestLoad()) + failing
+    }
+
+    private fun tokenLoad(capacity: Int): Double {
+        val tokens = (ownTokens + otherTokens).toDouble()
+        return if (replica.stage == ReplicaStage.PREFILL) tokens / PREFILL_QUEUE_TOKENS else tokens / capacity
+    }
+
+    private fun requestLoad(): Double {
         val seen = load
         val age = clock.millis() - loadAt
         val reported = if (seen == null) 0.0 else (seen.running + seen.waiting) * exp(-age / LOAD_FADE_MILLIS)
         val places = maxOf(1, seen?.slots ?: replica.slots)
-        val failing = maxOf(0.0, failureShare - TOLERATED_FAILURES) * FAILURE_COST
-        return maxOf(reported, inFlight.toDouble()) / places + inFlight / OWN_REQUESTS_SCALE + failing
+        return maxOf(reported, inFlight.toDouble()) / places + inFlight / OWN_REQUESTS_SCALE
     }
 
     private companion object {
@@ -94,6 +124,9 @@
         /** A replica that fails always costs as much as two that are full. */
         const val FAILURE_COST = 2.0
 
+        /** A prefill replica reads some 50 tokens a millisecond; this many take half of the objective. */
+        const val PREFILL_QUEUE_TOKENS = 25_000.0
+
         /** Own requests also count by number, since replicas with many places slow down with each of them. */
         const val OWN_REQUESTS_SCALE = 16.0
 
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
@@ -17,6 +17,14 @@
     fun usable(service: String, stage: ReplicaStage): List<ReplicaState> =
         states.values.filter { it.replica.service == service && it.replica.stage == stage && !it.replica.leaving }
 
+    /** Tokens that this VM has at each replica, without those that have none. */
+    @Synchronized
+    fun tokens(): Map<String, Long> = states.mapValues { it.value.tokens }.filterValues { it > 0 }
+
+    /** Takes over the [sums] of tokens that other VMs have at each replica. */
+    @Synchronized
+    fun othersHave(sums: Map<String, Long>) = states.forEach { (id, state) -> state.othersHave(sums[id] ?: 0) }
+
     /** Number of listed replicas. */
     val size: Int @Synchronized get() = states.size
 
--- a/core/src/main/kotlin/fireflyhinge/forward/RequestFacts.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/RequestFacts.kt
@@ -6,13 +6,32 @@
  * @property requestId id of the caller's attempt, or null if it has none.
  * @property deadlineMillis how long the caller waits, or null if it does not say.
  * @property key the caller's API key, or null.
- * @property tokens declared prompt tokens plus the most output tokens, or null.
+ * @property promptTokens declared prompt tokens, or null.
+ * @property outputTokens declared limit of output tokens, or null.
+ * @property expectedOutput the caller's estimate of output tokens, right in half of all cases, or null.
  * @property lastEvent number of the last event of a stream that the caller already has, or null.
  */
 data class RequestFacts(
     val requestId: String?,
     val deadlineMillis: Long?,
     val key: String?,
-    val tokens: Int?,
+    val promptTokens: Int?,
+    val outputTokens: Int?,
+    val expectedOutput: Int?,
     val lastEvent: Long?,
-)
+) {
+    /** Tokens that the request may use, or null if it declares none. */
+    val tokens: Int? get() = if (promptTokens == null) null else promptTokens + (outputTokens ?: 0)
+
+    /**
+     * KV memory, in tokens, that the request takes on the average over its run: requests of a replica are at different
+     * points of their answers, so that reserving the final size of each would leave memory unused.
+     */
+    val typicalMemory: Int
+        get() = (promptTokens ?: 0) + ((expectedOutput ?: outputTokens ?: 0) * TYPICAL_OUTPUT_PART).toInt()
+
+    private companion object {
+        /** A little over one half, since the memory of a replica that runs out is expensive. */
+        const val TYPICAL_OUTPUT_PART = 0.6
+    }
+}
--- a/core/src/main/kotlin/fireflyhinge/forward/VmRecord.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/VmRecord.kt
@@ -9,6 +9,7 @@
  * @property beat raised by the VM itself while it runs.
  * @property ready whether it takes requests.
  * @property strength its share of a processor core, by which callers are spread.
+ * @property tokens tokens of its requests at each replica, by the replica's id.
  */
 data class VmRecord(
     val name: String,
@@ -19,6 +20,7 @@
     val beat: Long = 0,
     val ready: Boolean = false,
     val strength: Double = 1.0,
+    val tokens: Map<String, Long> = emptyMap(),
 ) {
     /** Whether this record was made after [other]. */
     fun newerThan(other: VmRecord): Boolean =
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -47,10 +47,10 @@
     private val configFeed = Feed(FeedKind.CONFIGURATION, store, ::configure)
     private val replicaFeed = Feed(FeedKind.REPLICAS, store, ::list)
     private val feeds = listOf(configFeed, replicaFeed)
-    private val gossip = Gossip(fleet, domains, PeerClient(ConnectionPool(io)), feeds, { this.settings.seeds }, ::ready)
+    private val gossip = Gossip(fleet, domains, PeerClient(ConnectionPool(io)), feeds, { this.settings.seeds }, ::ready, table)
     private val shares = QuotaShares(settings.quota, ::sharing, settings.firstStart)
     private val repeats = RepeatShares(settings.repeats, ::sharing)
-    private val pools = ReplicaPools(table, ReplicaChooser(table, domains), repeats)
+    private val pools = ReplicaPools(table, ReplicaChooser(table, domains, ::memoryOf), repeats)
     private val sender = ReplicaSender(io, ConnectionPool(io), dialects.replicas)
     private val startedAt = nowMillis()
 
@@ -136,6 +136,8 @@
         return if (known) fleet.sharing() else maxOf(fleet.sharing(), UNKNOWN_VMS)
     }
 
+    private fun memoryOf(service: String): Int = config?.services?.get(service)?.memoryTokens ?: 0
+
     private fun configure(state: FeedState) {
         val next = dialects.feeds.config(state.items().values) ?: return
         val held = config
@@ -144,7 +146,9 @@
             return
         }
         config = next
-        log.atInfo().addKeyValue("config", next.version).addKeyValue("routes", next.routes.size).log("configured")
+        log.atInfo().addKeyValue("config", next.version).addKeyValue("routes", next.routes.size)
+            .addKeyValue("limits", next.workspaces.values.map { "${it.name} ${it.limit.ratePerSecond.toLong()}" })
+            .log("configured")
     }
 
     private fun list(state: FeedState) {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
@@ -2,8 +2,12 @@
 
 import fireflyhinge.forward.FailureDomains
 import fireflyhinge.forward.FleetView
+import fireflyhinge.forward.ReplicaTable
 import fireflyhinge.forward.VmRecord
 import fireflyhinge.gateway.http.ConnectFailed
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import org.slf4j.LoggerFactory
 import java.io.IOException
@@ -17,6 +21,7 @@
     private val feeds: List<Feed>,
     private val seeds: () -> List<String>,
     private val ready: () -> Boolean,
+    private val table: ReplicaTable,
 ) {
     private val log = LoggerFactory.getLogger(javaClass)
     private var round = 0L
@@ -35,7 +40,7 @@
     }
 
     private suspend fun round() {
-        fleet.beat(ready())
+        fleet.beat(ready(), table.tokens())
         feeds.forEach { it.settle() }
         round++
         partner()?.let { exchange(it) }
@@ -43,7 +48,7 @@
 
     /** Tells the state of this VM to all others at once; used when it begins or stops to take requests. */
     suspend fun announce() {
-        fleet.beat(ready())
+        fleet.beat(ready(), table.tokens())
         fleet.live().take(MOST_TOLD).forEach { exchange(it.control) }
     }
 
@@ -79,25 +84,37 @@
 
     /** Another VM sent [theirs] and gets the answer. */
     fun received(theirs: PeerExchange): PeerExchange {
-        fleet.merge(theirs.vms)
+        merge(theirs)
         return own()
     }
 
-    private suspend fun take(theirs: PeerExchange, address: String) {
+    private fun merge(theirs: PeerExchange) {
         fleet.merge(theirs.vms)
+        table.othersHave(fleet.othersTokens())
+    }
+
+    private suspend fun take(theirs: PeerExchange, address: String) {
+        merge(theirs)
         for (feed in feeds) {
             if (!feed.behind(theirs.revisions[feed.kind] ?: 0)) continue
             feed.adopt(PeerMessages.listing(peers.get(address, FEED_PATH + feed.kind.name)), address)
         }
     }
 
-    /** Borrows [tokens] of [workspace] from one of a few VMs, near ones first. */
+    /**
+     * Borrows about [tokens] of [workspace]: parts of it from a few near VMs at a time, then the rest from others.
+     * Returns how many were lent, which may be less or a little more.
+     */
     suspend fun borrow(workspace: String, tokens: Double): Double {
-        val lenders = fleet.live().shuffled().sortedBy { domains.distance(it.failureDomain) }.take(MOST_LENDERS)
-        for (vm in lenders) lend(vm, workspace, tokens).let { if (it > 0) return it }
-        return 0.0
+        val lenders = fleet.live().shuffled().sortedBy { domains.distance(it.failureDomain) }
+        val near = ask(lenders.take(LENDERS_AT_A_TIME), workspace, tokens / 2)
+        if (near >= tokens) return near
+        return near + ask(lenders.drop(LENDERS_AT_A_TIME).take(LENDERS_AT_A_TIME), workspace, tokens - near)
     }
 
+    private suspend fun ask(lenders: List<VmRecord>, workspace: String, tokens: Double): Double =
+        coroutineScope { lenders.map { async { lend(it, workspace, tokens) } }.awaitAll().sum() }
+
     private suspend fun lend(vm: VmRecord, workspace: String, tokens: Double): Double =
         try {
             val body = PeerMessages.encodeLoan(workspace, tokens)
@@ -113,14 +130,14 @@
         const val FEED_PATH = "/peer/v1/feed/"
         const val BORROW_PATH = "/peer/v1/borrow"
 
-        /** One exchange in this time: news reach eight VMs in about two seconds, at two messages a VM and second. */
-        private const val ROUND_MILLIS = 400L
+        /** One exchange in this time: news reach eight VMs in about a second, at three messages a VM and second. */
+        private const val ROUND_MILLIS = 300L
         private const val SEED_ROUNDS = 10L
 
         /** One exchange of four may leave the region. */
         private const val REMOTE_ROUNDS = 4L
         private const val MOST_TOLD = 16
-        private const val MOST_LENDERS = 2
+        private const val LENDERS_AT_A_TIME = 3
         private const val BORROW_MILLIS = 150L
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerMessages.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerMessages.kt
@@ -63,6 +63,7 @@
             .put("beat", vm.beat)
             .put("ready", vm.ready)
             .put("strength", vm.strength)
+            .also { node -> vm.tokens.forEach { (id, count) -> node.withObject("/tokens").put(id, count) } }
 
     private fun vm(node: JsonNode) =
         VmRecord(
@@ -74,5 +75,6 @@
             beat = node.path("beat").asLong(),
             ready = node.path("ready").asBoolean(),
             strength = node.path("strength").asDouble(1.0),
+            tokens = node.path("tokens").properties().associate { it.key to it.value.asLong() },
         )
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Attempt.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Attempt.kt
@@ -17,6 +17,9 @@
     val service: String,
     val endsAtMillis: Long,
 ) {
+    /** Tokens that the request costs its workspace. */
+    var cost = 0.0
+
     private var runs = 0
 
     /** Whether a replica may have begun to run the request. */
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodePlace.kt
@@ -0,0 +1,6 @@
+package fireflyhinge.gateway.forward
+
+import fireflyhinge.forward.ReplicaState
+
+/** A decode replica chosen for a request; [reservation] is the place that it keeps, if it keeps places. */
+internal class DecodePlace(val state: ReplicaState, val reservation: String?)
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Forwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Forwarder.kt
@@ -55,7 +55,8 @@
         val time = minOf(route.timeoutMillis, facts.deadlineMillis ?: route.timeoutMillis)
         val attempt = Attempt(request, facts, admission, service.orEmpty(), request.arrivedMillis + time)
         val cost = admission.cost(facts).toDouble()
-        val wait = admission.workspace?.let { quota.charge(it, cost) }
+        attempt.cost = cost
+        val wait = admission.workspace?.let { quota.charge(it, cost, route.objectiveMillis / QUOTA_WAIT_PARTS) }
         if (wait != null) {
             val failure = Outcome.Failure(ResultCode.RATE_EXCEEDED, retryAfterMillis = wait)
             journal.ended(attempt, failure.code.label)
@@ -120,5 +121,8 @@
     private companion object {
         /** A VM that starts has the configuration within about this time. */
         const val NO_CONFIG_MILLIS = 500L
+
+        /** A request may wait this part of its objective for tokens; the rest is enough to serve it in time. */
+        const val QUOTA_WAIT_PARTS = 3
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillStep.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillStep.kt
@@ -8,15 +8,13 @@
 internal class PrefillStep(private val pools: ReplicaPools, private val sender: ReplicaSender) {
     /**
      * The KV cache of the prompt, or null if no prefill replica gave one; a decode replica then reads the prompt by
-     * itself. Reading the prompt is not a run, so it may be tried again.
+     * itself. Reading the prompt is not a run, so it may be tried again. The cache is fetched from [near], so it must
+     * be in the same region.
      */
-    suspend fun run(attempt: Attempt): PrefilledCache? {
+    suspend fun run(attempt: Attempt, near: String): PrefilledCache? {
         val avoid = HashSet<String>()
         repeat(MOST_TRIES) { number ->
-            val state = pools.chooser.choose(attempt.service, ReplicaStage.PREFILL, avoid) ?: return null
-            // The cache must be fetched within the region.
-            val near = state.replica.failureDomain
-            pools.chooser.choose(attempt.service, ReplicaStage.DECODE, near = near) ?: return null
+            val state = pools.chooser.choose(attempt.service, ReplicaStage.PREFILL, avoid, near) ?: return null
             if (number > 0 && !pools.repeats.take(attempt.service)) return null
             avoid += state.replica.id
             send(attempt, state)?.let { return it }
@@ -24,11 +22,6 @@
         return null
     }
 
-    /** Failure domain of the replica that holds [cache], or null if it is not listed any more. */
-    fun domainOf(service: String, cache: PrefilledCache): String? =
-        pools.table.usable(service, ReplicaStage.PREFILL).find { it.replica.address == cache.address }
-            ?.replica?.failureDomain
-
     private suspend fun send(attempt: Attempt, state: ReplicaState): PrefilledCache? {
         val call =
             ReplicaCall(
@@ -38,7 +31,8 @@
                 prefill = true,
             )
         val patience = minOf(PATIENCE_MILLIS, attempt.remaining)
-        val result = sender.whole(state, attempt.request, call, patience)
+        val tokens = attempt.facts.promptTokens ?: 0
+        val result = sender.whole(state, attempt.request, call, patience, tokens)
         val cache = (result as? SendResult.Answered)?.takeIf { it.status == OK }
             ?.let { sender.cache(state.replica.address, it.body) }
         attempt.trail += "prefill ${state.replica.id} ${if (cache == null) describe(result) else "ok"}"
@@ -60,7 +54,7 @@
         const val OK = 200
         const val MOST_TRIES = 2
 
-        /** Reading the longest prompt takes 0.2 s; the rest is for a queue. A second try still meets the objective. */
-        const val PATIENCE_MILLIS = 450L
+        /** Reading the longest prompt takes 0.2 s; the rest is for a queue, since what a replica has read is lost. */
+        const val PATIENCE_MILLIS = 800L
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/QuotaGate.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/QuotaGate.kt
@@ -4,26 +4,42 @@
 import fireflyhinge.forward.QuotaShares
 import fireflyhinge.gateway.fleet.QuotaLender
 import fireflyhinge.gateway.http.nowMillis
+import kotlinx.coroutines.delay
 import java.util.concurrent.ConcurrentHashMap
 
 /** Charges requests to their workspace: from this VM's share, else with tokens that another VM lends. */
 internal class QuotaGate(private val shares: QuotaShares, private val lender: QuotaLender) {
     private val nextAsk = ConcurrentHashMap<String, Long>()
+    private val waiting = ConcurrentHashMap<String, Int>()
 
-    /** Takes [tokens] of [workspace]; null if granted, else the milliseconds after which a try may succeed. */
-    suspend fun charge(workspace: ForwardWorkspace, tokens: Double): Long? {
+    /**
+     * Takes [tokens] of [workspace]; null if granted, else the milliseconds after which a try may succeed. A request
+     * that lacks tokens waits up to [patienceMillis] for them, unless others wait already.
+     */
+    suspend fun charge(workspace: ForwardWorkspace, tokens: Double, patienceMillis: Long): Long? {
         if (shares.take(workspace, tokens)) return null
-        val now = nowMillis()
-        if (now >= (nextAsk[workspace.name] ?: 0)) {
-            val lent = lender.borrow(workspace.name, tokens)
-            if (lent > 0) {
-                shares.add(workspace, lent)
-                if (shares.take(workspace, tokens)) return null
-            } else {
+        val name = workspace.name
+        val others = waiting.getOrDefault(name, 0)
+        if (others >= MOST_WAITING) return shares.waitFor(workspace, tokens)
+        waiting.merge(name, 1, Int::plus)
+        try {
+            return borrowed(workspace, tokens, nowMillis() + patienceMillis)
+        } finally {
+            waiting.merge(name, -1, Int::plus)
+        }
+    }
+
+    private suspend fun borrowed(workspace: ForwardWorkspace, tokens: Double, until: Long): Long? {
+        while (true) {
+            val now = nowMillis()
+            if (now >= (nextAsk[workspace.name] ?: 0)) {
                 nextAsk[workspace.name] = now + ASK_PAUSE_MILLIS
+                shares.add(workspace, lender.borrow(workspace.name, shares.missing(workspace, tokens)))
             }
+            if (shares.take(workspace, tokens)) return null
+            if (nowMillis() + ASK_PAUSE_MILLIS > until) return shares.waitFor(workspace, tokens)
+            delay(ASK_PAUSE_MILLIS)
         }
-        return shares.waitFor(workspace, tokens)
     }
 
     /** Gives back [tokens] of a request that no replica got. */
@@ -31,6 +47,9 @@
 
     private companion object {
         /** A workspace beyond its limit asks other VMs this often, not with each request. */
-        const val ASK_PAUSE_MILLIS = 250L
+        const val ASK_PAUSE_MILLIS = 80L
+
+        /** Requests of a workspace that wait for tokens at a time; more would not be served within the objective. */
+        const val MOST_WAITING = 3
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaCall.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaCall.kt
@@ -10,6 +10,7 @@
  * @property remainingMillis time that is left for the request.
  * @property prefill whether only the prompt is read.
  * @property cache KV cache to be fetched before decoding, or null.
+ * @property reservation id of the place that the replica keeps for the request, or null.
  * @property lastEvent last event of a stream that the caller has, or null.
  */
 data class ReplicaCall(
@@ -18,5 +19,6 @@
     val remainingMillis: Long,
     val prefill: Boolean = false,
     val cache: PrefilledCache? = null,
+    val reservation: String? = null,
     val lastEvent: Long? = null,
 )
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
@@ -29,12 +29,13 @@
         request: CallerRequest,
         call: ReplicaCall,
         patienceMillis: Long,
+        tokens: Int = 0,
     ): SendResult {
         var sent = false
         val result =
             withTimeoutOrNull(patienceMillis) {
                 try {
-                    use(state) { connection ->
+                    use(state, tokens) { connection ->
                         sent = true
                         val head = begin(connection, request, call)
                         Reading.Whole(read(connection, head))
@@ -75,17 +76,22 @@
      * Runs [block] with a connection to the replica. The connection is kept if [block] returns [Reading.Whole], and
      * closed otherwise, which ends work that the replica may still do.
      */
-    suspend fun <T> use(state: ReplicaState, block: suspend (OutboundConnection) -> Reading<T>): T {
-        val connection = pool.acquire(state.replica.address)
-        state.began()
+    suspend fun <T> use(
+        state: ReplicaState,
+        tokens: Int,
+        block: suspend (OutboundConnection) -> Reading<T>,
+    ): T {
+        state.began(tokens)
+        var connection: OutboundConnection? = null
         var whole = false
         try {
+            connection = pool.acquire(state.replica.address)
             val result = block(connection)
             whole = result is Reading.Whole
             return result.value
         } finally {
-            state.ended()
-            if (whole) pool.release(connection) else connection.close()
+            state.ended(tokens)
+            connection?.let { if (whole) pool.release(it) else it.close() }
         }
     }
 
@@ -95,27 +101,79 @@
     /** The KV cache that a prefill at [address] left, or null if [body] does not name one. */
     fun cache(address: String, body: ByteArray): PrefilledCache? = dialect.cache(address, body)
 
-    /** Frees a KV cache that nobody will fetch. Nobody waits for the answer; the replica drops it soon anyway. */
-    fun release(cache: PrefilledCache) {
-        io.scope.launch {
+    /** Asks the replica to keep a place with memory for [tokens]. */
+    suspend fun reserve(state: ReplicaState, tokens: Int): Reservation {
+        val (path, body) = dialect.reserve(tokens, RESERVATION_MILLIS)
+        val answer =
             try {
-                withTimeoutOrNull(RELEASE_MILLIS) {
-                    val connection = pool.acquire(cache.address)
-                    connection.send(OutboundRequests.of("DELETE", dialect.releasePath(cache), DefaultHttpHeaders()))
-                    connection.head()
-                    while (connection.body() != null) Unit
-                    pool.release(connection)
+                withTimeoutOrNull(RESERVE_PATIENCE_MILLIS) {
+                    own(state.replica.address, "POST", path, dialect.own(state.replica.id), body)
                 }
             } catch (e: IOException) {
-                log.debug("a KV cache was not freed: {}", e.message)
+                return Reservation.NoAnswer(e.message.orEmpty())
+            }
+        return when (answer?.first) {
+            null -> Reservation.NoAnswer("silent for $RESERVE_PATIENCE_MILLIS ms")
+            OK -> dialect.reservation(answer.second)?.let { Reservation.Granted(it) } ?: Reservation.Unsupported
+            FULL -> Reservation.Full
+            MISDIRECTED -> Reservation.NoAnswer("another replica has the address")
+            else -> Reservation.Unsupported
+        }
+    }
+
+    /** Gives up a place that no request will take. */
+    fun unreserve(state: ReplicaState, reservation: String) =
+        forget(state.replica.address, dialect.unreservePath(reservation), dialect.own(state.replica.id))
+
+    /** Frees a KV cache that nobody will fetch. */
+    fun release(cache: PrefilledCache) = forget(cache.address, dialect.releasePath(cache), DefaultHttpHeaders())
+
+    /** Nobody waits for the answer; replicas end by themselves what is not given up. */
+    private fun forget(address: String, path: String, headers: HttpHeaders) {
+        io.scope.launch {
+            try {
+                withTimeoutOrNull(FORGET_MILLIS) { own(address, "DELETE", path, headers, ByteArray(0)) }
+            } catch (e: IOException) {
+                log.debug("{} was not given up: {}", path, e.message)
             }
         }
     }
 
+    private suspend fun own(
+        address: String,
+        method: String,
+        path: String,
+        headers: HttpHeaders,
+        body: ByteArray,
+    ): Pair<Int, ByteArray> {
+        val connection = pool.acquire(address)
+        var whole = false
+        try {
+            connection.send(OutboundRequests.of(method, path, headers, body))
+            val head = connection.head()
+            val answer = ByteArrayOutputStream()
+            while (true) answer.writeBytes(connection.body() ?: break)
+            whole = true
+            return head.status().code() to answer.toByteArray()
+        } finally {
+            if (whole) pool.release(connection) else connection.close()
+        }
+    }
+
     private companion object {
         val log = LoggerFactory.getLogger(ReplicaSender::class.java)
 
+        const val OK = 200
+        const val MISDIRECTED = 421
+        const val FULL = 503
+
         /** KV caches lapse by themselves after half a second. */
-        const val RELEASE_MILLIS = 500L
+        const val FORGET_MILLIS = 500L
+
+        /** Longest time that replicas keep a place; a prompt is read within it. */
+        const val RESERVATION_MILLIS = 2_000L
+
+        /** A round trip between regions takes 60 ms; replicas answer at once. */
+        const val RESERVE_PATIENCE_MILLIS = 200L
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/RequestJournal.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/RequestJournal.kt
@@ -53,6 +53,7 @@
             .addKeyValue("workspace", attempt.admission.workspace?.name)
             .addKeyValue("service", attempt.service)
             .addKeyValue("config", attempt.admission.configVersion)
+            .addKeyValue("tokens", attempt.cost.toLong())
             .addKeyValue("millis", millis)
             .addKeyValue("tried", attempt.trail.joinToString("; "))
             .addKeyValue("outcome", outcome)
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -2,11 +2,11 @@
 
 import fireflyhinge.forward.EventOrder
 import fireflyhinge.forward.PrefilledCache
-import fireflyhinge.forward.ReplicaStage
 import fireflyhinge.forward.ReplicaState
 import fireflyhinge.gateway.http.AnswerWriter
 import fireflyhinge.result.Outcome
 import fireflyhinge.result.ResultCode
+import kotlin.random.Random
 
 /** Forwards model requests: the prompt is read by a prefill replica, the answer written by a decode replica. */
 internal class StreamForwarder(private val pools: ReplicaPools, private val sender: ReplicaSender) {
@@ -15,32 +15,51 @@
         val avoid = HashSet<String>()
         var sends = 0
         var unreachable = 0
-        var last = Outcome.Failure(ResultCode.NO_UPSTREAM, retryAfterMillis = NO_REPLICA_MILLIS)
+        var last = Outcome.Failure(ResultCode.CAPACITY_EXHAUSTED, retryAfterMillis = Random.nextLong(FULL_MILLIS, 2 * FULL_MILLIS))
     }
 
     private val prefills = PrefillStep(pools, sender)
+    private val places = PlaceStep(pools, sender)
 
     /** Prefills, decodes, and hands the events on to [answer]; a resumable stream that breaks goes on elsewhere. */
     suspend fun run(attempt: Attempt, answer: AnswerWriter): ForwardResult {
         pools.repeats.requested(attempt.service)
         val tries = Tries(attempt.facts.lastEvent)
-        var cache: PrefilledCache? = prefills.run(attempt)
-        try {
-            while (mayTry(attempt, tries)) {
-                val near = cache?.let { prefills.domainOf(attempt.service, it) }
-                val state = pools.chooser.choose(attempt.service, ReplicaStage.DECODE, tries.avoid, near) ?: break
-                if (tries.sends > 0 && !pools.repeats.take(attempt.service)) break
-                val fetched = cache
-                val result = decode(attempt, tries, state, fetched, answer)
-                if (result is Decoded.Ended) return result.value.also { cache = null }
-                // A cache can be fetched once, and after a failure it is not known whether it was.
-                if (result is Decoded.Spent || result is Decoded.CacheLost) cache = null
-                if (result !is Decoded.CacheLost) tries.avoid += state.replica.id
+        val route = attempt.admission.route
+        val placeUntil = attempt.request.arrivedMillis + route.objectiveMillis * PLACE_PERCENT / PERCENT
+        while (mayTry(attempt, tries)) {
+            val place = places.find(attempt, tries.avoid, placeUntil) ?: break
+            if (tries.sends > 0 && !pools.repeats.take(attempt.service)) {
+                giveUp(place)
+                break
             }
+            tries.avoid += place.state.replica.id
+            // A prompt is read apart only for the first try; later ones are few and use the decode replica alone.
+            val ended = if (tries.sends == 0) prefilled(attempt, tries, place, answer) else decode(attempt, tries, place, null, answer)
+            if (ended is Decoded.Ended) return ended.value
+        }
+        return if (answer.started) ForwardResult.Broken(tries.last.detail) else ForwardResult.Failed(tries.last)
+    }
+
+    private suspend fun prefilled(attempt: Attempt, tries: Tries, place: DecodePlace, answer: AnswerWriter): Decoded {
+        var cache: PrefilledCache? = null
+        var free = true
+        try {
+            cache = prefills.run(attempt, place.state.replica.failureDomain)
+            free = false
+            val result = decode(attempt, tries, place, cache, answer)
+            // A cache is gone after a run; after a refusal the replica may still read the prompt itself.
+            if (result !is Decoded.CacheLost) return result.also { if (it is Decoded.Ended) cache = null }
+            if (!pools.repeats.take(attempt.service)) return Decoded.Kept
+            return decode(attempt, tries, DecodePlace(place.state, reservation = null), null, answer)
         } finally {
             cache?.let(sender::release)
+            if (free) giveUp(place)
         }
-        return if (answer.started) ForwardResult.Broken(tries.last.detail) else ForwardResult.Failed(tries.last)
+    }
+
+    private fun giveUp(place: DecodePlace) {
+        place.reservation?.let { sender.unreserve(place.state, it) }
     }
 
     private fun mayTry(attempt: Attempt, tries: Tries): Boolean {
@@ -52,10 +71,11 @@
     private suspend fun decode(
         attempt: Attempt,
         tries: Tries,
-        state: ReplicaState,
+        place: DecodePlace,
         cache: PrefilledCache?,
         answer: AnswerWriter,
     ): Decoded {
+        val state = place.state
         val id = state.replica.id
         val call =
             ReplicaCall(
@@ -63,6 +83,7 @@
                 workspace = attempt.admission.workspace?.name,
                 remainingMillis = attempt.remaining,
                 cache = cache,
+                reservation = place.reservation,
                 lastEvent = tries.order.last,
             )
         attempt.sending()
@@ -98,7 +119,7 @@
         withCache: Boolean,
     ): Decoded {
         attempt.didNotRun()
-        tries.last = Outcome.Failure(ResultCode.CAPACITY_EXHAUSTED, retryAfterMillis = FULL_MILLIS)
+        tries.last = Outcome.Failure(ResultCode.CAPACITY_EXHAUSTED, retryAfterMillis = Random.nextLong(FULL_MILLIS, 2 * FULL_MILLIS))
         if (outcome.otherReplica) {
             tries.unreachable++
             state.silent()
@@ -136,8 +157,12 @@
         /** Replicas that cannot be reached before a request is given up. */
         const val MOST_UNREACHABLE = 3
 
-        /** When a caller may come back: after the next try of a replica that failed, and when places are free. */
+        /** When a caller may come back: after the next try of a replica that failed, and when answers have ended. */
         const val NO_REPLICA_MILLIS = 500L
-        const val FULL_MILLIS = 300L
+        const val FULL_MILLIS = 1_500L
+
+        /** Part of the objective within which a place must be found; the rest is enough to read the prompt. */
+        const val PLACE_PERCENT = 60
+        const val PERCENT = 100
     }
 }
