--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
@@ -16,9 +16,7 @@
     private var otherTokens = 0L
     private var load: ReplicaLoad? = null
     private var loadAt = 0L
-    private var failures = 0
-    private var failureShare = 0.0
-    private var silentUntil = 0L
+    private val health = ReplicaHealth()
     private var fullUntil = 0L
 
     /** Requests of this VM that the replica has now. */
@@ -56,23 +54,11 @@
 
     /** The replica answered. [good] is false for an answer that reports a failure of the replica itself. */
     @Synchronized
-    fun answered(good: Boolean) {
-        failures = 0
-        silentUntil = 0
-        failureShare += ((if (good) 0.0 else 1.0) - failureShare) * FAILURE_WEIGHT
-    }
+    fun answered(good: Boolean) = health.answered(good)
 
-    /**
-     * The replica gave no answer. It is left out for a while that doubles with each failure in a row, and then tried
-     * again with ordinary requests.
-     */
+    /** The replica gave no answer. It is left out for a while, and then tried again with ordinary requests. */
     @Synchronized
-    fun silent() {
-        failures++
-        failureShare += (1 - failureShare) * FAILURE_WEIGHT
-        val pause = minOf(FIRST_PAUSE_MILLIS shl minOf(failures - 1, MAX_DOUBLINGS), LONGEST_PAUSE_MILLIS)
-        silentUntil = clock.millis() + pause
-    }
+    fun silent() = health.silent(clock.millis())
 
     /** The replica said that it is full: it is left out for [FULL_PAUSE_MILLIS]. */
     @Synchronized
@@ -81,7 +67,7 @@
     }
 
     /** Whether the replica is left out because it gave no answer lately. */
-    val silent: Boolean @Synchronized get() = clock.millis() < silentUntil
+    val silent: Boolean @Synchronized get() = health.leftOut(clock.millis())
 
     /** Whether the replica said a moment ago that it is full. */
     val full: Boolean @Synchronized get() = clock.millis() < fullUntil
@@ -97,13 +83,8 @@
      */
     @Synchronized
     fun cost(capacity: Int): Double {
-        val failing = maxOf(0.0, failureShare - TOLERATED_FAILURES) * FAILURE_COST
-        return (if (capacity > 0) tokenLoad(capacity) else requestLoad()) + failing
-    }
-
-    private fun tokenLoad(capacity: Int): Double {
-        val tokens = (ownTokens + otherTokens).toDouble()
-        return if (replica.stage == ReplicaStage.PREFILL) tokens / PREFILL_QUEUE_TOKENS else tokens / capacity
+        val full = if (replica.stage == ReplicaStage.PREFILL) PREFILL_QUEUE_TOKENS else capacity.toDouble()
+        return health.cost + if (capacity > 0) (ownTokens + otherTokens) / full else requestLoad()
     }
 
     private fun requestLoad(): Double {
@@ -115,15 +96,6 @@
     }
 
     private companion object {
-        /** Weight of one answer in the moving share of failures: some ten answers decide. */
-        const val FAILURE_WEIGHT = 0.1
-
-        /** Share of failures that sound replicas show as well, such as errors of the application. */
-        const val TOLERATED_FAILURES = 0.2
-
-        /** A replica that fails always costs as much as two that are full. */
-        const val FAILURE_COST = 2.0
-
         /** A prefill replica reads some 50 tokens a millisecond; this many take half of the objective. */
         const val PREFILL_QUEUE_TOKENS = 25_000.0
 
@@ -133,10 +105,6 @@
         /** Reported load loses two thirds of its weight in this time; replicas finish most requests within it. */
         const val LOAD_FADE_MILLIS = 400.0
 
-        const val FIRST_PAUSE_MILLIS = 500L
-        const val MAX_DOUBLINGS = 4
-        const val LONGEST_PAUSE_MILLIS = 4_000L
-
         /** A full replica has room again after about one request's time. */
         const val FULL_PAUSE_MILLIS = 100L
     }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -15,11 +15,15 @@
 import fireflyhinge.forward.VmRecord
 import fireflyhinge.gateway.fleet.ControlHandler
 import fireflyhinge.gateway.fleet.Feed
+import fireflyhinge.gateway.fleet.FleetNews
 import fireflyhinge.gateway.fleet.Gossip
 import fireflyhinge.gateway.fleet.PeerClient
+import fireflyhinge.gateway.fleet.QuotaLoans
+import fireflyhinge.gateway.forward.ForwardSteps
 import fireflyhinge.gateway.forward.Forwarder
 import fireflyhinge.gateway.forward.PlainForwarder
 import fireflyhinge.gateway.forward.QuotaGate
+import fireflyhinge.gateway.forward.ReplicaCalls
 import fireflyhinge.gateway.forward.ReplicaPools
 import fireflyhinge.gateway.forward.ReplicaSender
 import fireflyhinge.gateway.forward.RequestJournal
@@ -47,11 +51,13 @@
     private val configFeed = Feed(FeedKind.CONFIGURATION, store, ::configure)
     private val replicaFeed = Feed(FeedKind.REPLICAS, store, ::list)
     private val feeds = listOf(configFeed, replicaFeed)
-    private val gossip = Gossip(fleet, domains, PeerClient(ConnectionPool(io)), feeds, { this.settings.seeds }, ::ready, table)
+    private val peers = PeerClient(ConnectionPool(io))
+    private val gossip = Gossip(domains, peers, feeds, { this.settings.seeds }, FleetNews(fleet, table, ::ready))
     private val shares = QuotaShares(settings.quota, ::sharing, settings.firstStart)
     private val repeats = RepeatShares(settings.repeats, ::sharing)
     private val pools = ReplicaPools(table, ReplicaChooser(table, domains, ::memoryOf), repeats)
-    private val sender = ReplicaSender(io, ConnectionPool(io), dialects.replicas)
+    private val replicaPool = ConnectionPool(io)
+    private val sender = ReplicaSender(replicaPool, dialects.replicas)
     private val startedAt = nowMillis()
 
     @Volatile
@@ -68,9 +74,12 @@
             config = { config },
             callers = dialects.callers,
             replicas = dialects.replicas,
-            quota = QuotaGate(shares, gossip::borrow),
-            plain = PlainForwarder(pools, sender),
-            streams = StreamForwarder(pools, sender),
+            steps =
+            ForwardSteps(
+                quota = QuotaGate(shares, QuotaLoans(fleet, domains, peers)),
+                plain = PlainForwarder(pools, sender),
+                streams = StreamForwarder(pools, sender, ReplicaCalls(io, replicaPool, dialects.places)),
+            ),
             journal = RequestJournal(registry),
         )
     private val front = HttpListener(io, settings.front, { config?.limits ?: CallerLimits() }, forwarder)
@@ -120,8 +129,9 @@
                 val listed = dialects.feeds.vms(answer.items)
                 fleet.merge(listed)
                 val self = fleet.self
-                val written = listed.any { it.name == self.name && it.control == self.control && it.front == self.front }
-                if (written || store.register(self)) break
+                val written = listed.find { it.name == self.name }
+                val current = written?.control == self.control && written.front == self.front
+                if (current || store.register(self)) break
             }
             delay(REGISTER_PAUSE_MILLIS)
         }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/GatewayDialects.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/GatewayDialects.kt
@@ -3,6 +3,7 @@
 import fireflyhinge.gateway.fleet.FeedDialect
 import fireflyhinge.gateway.fleet.PlatformStore
 import fireflyhinge.gateway.forward.CallerDialect
+import fireflyhinge.gateway.forward.PlaceDialect
 import fireflyhinge.gateway.forward.ReplicaDialect
 import fireflyhinge.gateway.http.StoreHttp
 
@@ -10,6 +11,7 @@
 class GatewayDialects(
     val callers: CallerDialect,
     val replicas: ReplicaDialect,
+    val places: PlaceDialect,
     val entry: EntryDialect,
     val feeds: FeedDialect,
     val store: (StoreHttp) -> PlatformStore,
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/ControlHandler.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/ControlHandler.kt
@@ -36,7 +36,7 @@
         when {
             request.uri == Gossip.EXCHANGE_PATH ->
                 PeerMessages.encode(gossip.received(PeerMessages.exchange(request.body)))
-            request.uri == Gossip.BORROW_PATH -> lend(request.body)
+            request.uri == QuotaLoans.PATH -> lend(request.body)
             request.uri.startsWith(Gossip.FEED_PATH) ->
                 feeds.find { it.kind.name == request.uri.removePrefix(Gossip.FEED_PATH) }?.let {
                     PeerMessages.encode(FeedAnswer.Listing(it.state.items().values.toList(), it.revision))
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/FleetNews.kt
@@ -0,0 +1,21 @@
+package fireflyhinge.gateway.fleet
+
+import fireflyhinge.forward.FleetView
+import fireflyhinge.forward.ReplicaTable
+import fireflyhinge.forward.VmRecord
+
+/** What this VM tells of itself and learns of others. [ready] says whether it takes requests. */
+internal class FleetNews(
+    val fleet: FleetView,
+    private val table: ReplicaTable,
+    private val ready: () -> Boolean,
+) {
+    /** Renews this VM's own record. */
+    fun beat() = fleet.beat(ready(), table.tokens())
+
+    /** Takes over [records] of other VMs, and what these have at replicas. */
+    fun merge(records: Collection<VmRecord>) {
+        fleet.merge(records)
+        table.othersHave(fleet.othersTokens())
+    }
+}
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
@@ -1,13 +1,7 @@
 package fireflyhinge.gateway.fleet
 
 import fireflyhinge.forward.FailureDomains
-import fireflyhinge.forward.FleetView
-import fireflyhinge.forward.ReplicaTable
-import fireflyhinge.forward.VmRecord
 import fireflyhinge.gateway.http.ConnectFailed
-import kotlinx.coroutines.async
-import kotlinx.coroutines.awaitAll
-import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import org.slf4j.LoggerFactory
 import java.io.IOException
@@ -15,15 +9,14 @@
 
 /** Exchanges news with other VMs and fetches newer copies of the store's objects from them. */
 internal class Gossip(
-    private val fleet: FleetView,
     private val domains: FailureDomains,
     private val peers: PeerClient,
     private val feeds: List<Feed>,
     private val seeds: () -> List<String>,
-    private val ready: () -> Boolean,
-    private val table: ReplicaTable,
+    private val news: FleetNews,
 ) {
     private val log = LoggerFactory.getLogger(javaClass)
+    private val fleet = news.fleet
     private var round = 0L
     private var seedNumber = 0
 
@@ -35,12 +28,13 @@
     suspend fun run() {
         while (true) {
             round()
-            delay(ROUND_MILLIS * 3 / 4 + Random.nextLong(ROUND_MILLIS / 2))
+            // Random pauses keep the VMs from exchanging all at once.
+            delay(ROUND_MILLIS / 2 + Random.nextLong(ROUND_MILLIS))
         }
     }
 
     private suspend fun round() {
-        fleet.beat(ready(), table.tokens())
+        news.beat()
         feeds.forEach { it.settle() }
         round++
         partner()?.let { exchange(it) }
@@ -48,7 +42,7 @@
 
     /** Tells the state of this VM to all others at once; used when it begins or stops to take requests. */
     suspend fun announce() {
-        fleet.beat(ready(), table.tokens())
+        news.beat()
         fleet.live().take(MOST_TOLD).forEach { exchange(it.control) }
     }
 
@@ -84,51 +78,22 @@
 
     /** Another VM sent [theirs] and gets the answer. */
     fun received(theirs: PeerExchange): PeerExchange {
-        merge(theirs)
+        news.merge(theirs.vms)
         return own()
     }
 
-    private fun merge(theirs: PeerExchange) {
-        fleet.merge(theirs.vms)
-        table.othersHave(fleet.othersTokens())
-    }
-
     private suspend fun take(theirs: PeerExchange, address: String) {
-        merge(theirs)
+        news.merge(theirs.vms)
         for (feed in feeds) {
             if (!feed.behind(theirs.revisions[feed.kind] ?: 0)) continue
             feed.adopt(PeerMessages.listing(peers.get(address, FEED_PATH + feed.kind.name)), address)
         }
     }
 
-    /**
-     * Borrows about [tokens] of [workspace]: parts of it from a few near VMs at a time, then the rest from others.
-     * Returns how many were lent, which may be less or a little more.
-     */
-    suspend fun borrow(workspace: String, tokens: Double): Double {
-        val lenders = fleet.live().shuffled().sortedBy { domains.distance(it.failureDomain) }
-        val near = ask(lenders.take(LENDERS_AT_A_TIME), workspace, tokens / 2)
-        if (near >= tokens) return near
-        return near + ask(lenders.drop(LENDERS_AT_A_TIME).take(LENDERS_AT_A_TIME), workspace, tokens - near)
-    }
-
-    private suspend fun ask(lenders: List<VmRecord>, workspace: String, tokens: Double): Double =
-        coroutineScope { lenders.map { async { lend(it, workspace, tokens) } }.awaitAll().sum() }
-
-    private suspend fun lend(vm: VmRecord, workspace: String, tokens: Double): Double =
-        try {
-            val body = PeerMessages.encodeLoan(workspace, tokens)
-            PeerMessages.loan(peers.post(vm.control, BORROW_PATH, body, BORROW_MILLIS)).second
-        } catch (e: IOException) {
-            log.atInfo().addKeyValue("vm", vm.name).addKeyValue("reason", e.message).log("a loan was not answered")
-            0.0
-        }
-
     companion object {
         /** Paths of the control interface. */
         const val EXCHANGE_PATH = "/peer/v1/exchange"
         const val FEED_PATH = "/peer/v1/feed/"
-        const val BORROW_PATH = "/peer/v1/borrow"
 
         /** One exchange in this time: news reach eight VMs in about a second, at three messages a VM and second. */
         private const val ROUND_MILLIS = 300L
@@ -137,7 +102,5 @@
         /** One exchange of four may leave the region. */
         private const val REMOTE_ROUNDS = 4L
         private const val MOST_TOLD = 16
-        private const val LENDERS_AT_A_TIME = 3
-        private const val BORROW_MILLIS = 150L
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerClient.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerClient.kt
@@ -11,7 +11,7 @@
 
 /** Calls of the control interface of other VMs. */
 internal class PeerClient(private val pool: ConnectionPool) {
-    /** Posts [body] to [path] at [address] and returns the answer's body. Throws [IOException] if none comes in time. */
+    /** Posts [body] to [path] at [address]; returns the answer's body. Throws [IOException] if none comes in time. */
     suspend fun post(address: String, path: String, body: ByteArray, millis: Long = CALL_MILLIS): ByteArray =
         call(address, "POST", path, body, millis)
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerMessages.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerMessages.kt
@@ -40,7 +40,9 @@
     fun listing(bytes: ByteArray): FeedAnswer.Listing {
         val root = mapper.readTree(bytes)
         val items =
-            root.path("items").map { FeedItem(it.path("name").asText(), it.path("revision").asLong(), it.path("body").asText()) }
+            root.path(
+                "items"
+            ).map { FeedItem(it.path("name").asText(), it.path("revision").asLong(), it.path("body").asText()) }
         return FeedAnswer.Listing(items, root.path("revision").asLong())
     }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/QuotaLender.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/QuotaLender.kt
@@ -2,6 +2,6 @@
 
 /** Asks other VMs for tokens of a workspace. */
 internal fun interface QuotaLender {
-    /** Borrows [tokens] of [workspace]; 0 if no VM lends them. */
+    /** Borrows about [tokens] of [workspace]. Returns how many were lent, which may be less or a little more. */
     suspend fun borrow(workspace: String, tokens: Double): Double
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
@@ -29,7 +29,7 @@
                 // Silence before the first event may be a queue; afterwards the pauses of a sound run are short.
                 val wait = if (patient) attempt.remaining else FIRST_EVENT_MILLIS
                 val head = withTimeoutOrNull(wait) { sender.begin(connection, attempt.request, call) }
-                if (head == null) Reading.Partial(DecodeOutcome.Lost("silent for $wait ms")) else read(state, connection, head)
+                head?.let { read(state, connection, it) } ?: Reading.Partial(DecodeOutcome.Lost("silent for $wait ms"))
             }
         } catch (e: ConnectFailed) {
             DecodeOutcome.NotSent(e.message.orEmpty())
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Forwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Forwarder.kt
@@ -8,7 +8,6 @@
 import fireflyhinge.gateway.http.CallerRequest
 import fireflyhinge.gateway.http.ErrorAnswer
 import fireflyhinge.gateway.http.RequestHandler
-import fireflyhinge.gateway.http.nowMillis
 import fireflyhinge.result.Outcome
 import fireflyhinge.result.ResultCode
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -21,9 +20,7 @@
     private val config: () -> ForwardConfig?,
     private val callers: CallerDialect,
     private val replicas: ReplicaDialect,
-    private val quota: QuotaGate,
-    private val plain: PlainForwarder,
-    private val streams: StreamForwarder,
+    private val steps: ForwardSteps,
     private val journal: RequestJournal,
 ) : RequestHandler {
     override suspend fun handle(request: CallerRequest, answer: AnswerWriter) {
@@ -56,7 +53,7 @@
         val attempt = Attempt(request, facts, admission, service.orEmpty(), request.arrivedMillis + time)
         val cost = admission.cost(facts).toDouble()
         attempt.cost = cost
-        val wait = admission.workspace?.let { quota.charge(it, cost, route.objectiveMillis / QUOTA_WAIT_PARTS) }
+        val wait = admission.workspace?.let { steps.quota.charge(it, cost, route.objectiveMillis / QUOTA_WAIT_PARTS) }
         if (wait != null) {
             val failure = Outcome.Failure(ResultCode.RATE_EXCEEDED, retryAfterMillis = wait)
             journal.ended(attempt, failure.code.label)
@@ -68,7 +65,7 @@
             journal.ended(attempt, "caller left")
             throw e
         } finally {
-            if (!attempt.mayHaveRun) admission.workspace?.let { quota.giveBack(it, cost) }
+            if (!attempt.mayHaveRun) admission.workspace?.let { steps.quota.giveBack(it, cost) }
         }
     }
 
@@ -76,9 +73,9 @@
         val result =
             withTimeoutOrNull(maxOf(1, attempt.remaining)) {
                 if (attempt.admission.route.kind == CallKind.STREAM) {
-                    streams.run(attempt, answer)
+                    steps.streams.run(attempt, answer)
                 } else {
-                    plain.run(attempt)
+                    steps.plain.run(attempt)
                 }
             }
         when (result) {
@@ -89,10 +86,13 @@
             ForwardResult.Streamed -> journal.ended(attempt, "streamed")
             is ForwardResult.Broken -> breakOff(attempt, answer, result.reason)
             is ForwardResult.Failed -> fail(attempt, Refusals.truthful(result.failure, attempt), answer)
-            null -> if (answer.started) breakOff(attempt, answer, "time over") else fail(attempt, Refusals.late(attempt), answer)
+            null -> timeOver(attempt, answer)
         }
     }
 
+    private suspend fun timeOver(attempt: Attempt, answer: AnswerWriter) =
+        if (answer.started) breakOff(attempt, answer, "time over") else fail(attempt, Refusals.late(attempt), answer)
+
     private fun breakOff(attempt: Attempt, answer: AnswerWriter, reason: String) {
         journal.ended(attempt, "broken off: $reason")
         answer.abort()
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlaceStep.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlaceStep.kt
@@ -8,7 +8,7 @@
  * Finds a place at a decode replica before the prompt is read, because a prefill without a place is wasted. What other
  * VMs have sent is only known with a delay, so the replica itself confirms the place.
  */
-internal class PlaceStep(private val pools: ReplicaPools, private val sender: ReplicaSender) {
+internal class PlaceStep(private val pools: ReplicaPools, private val calls: ReplicaCalls) {
     /**
      * A place at a replica that is not in [avoid]; waits until [untilMillis] if all are full. Null if none was found.
      */
@@ -33,7 +33,7 @@
         tried: MutableSet<String>,
     ): DecodePlace? {
         val id = state.replica.id
-        return when (val answer = sender.reserve(state, tokens)) {
+        return when (val answer = calls.reserve(state, tokens)) {
             is Reservation.Granted -> DecodePlace(state, answer.id)
             Reservation.Unsupported -> DecodePlace(state, reservation = null)
             Reservation.Full -> null.also { state.full() }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
@@ -20,14 +20,18 @@
         pools.repeats.requested(attempt.service)
         val tries = Tries()
         while (mayTry(attempt, tries)) {
-            val state = pools.chooser.choose(attempt.service, ReplicaStage.PLAIN, tries.avoid) ?: break
-            if (tries.sends > 0 && !pools.repeats.take(attempt.service)) break
+            val state = next(attempt, tries) ?: break
             tries.avoid += state.replica.id
             send(attempt, tries, state)?.let { return it }
         }
         return tries.failedAnswer ?: ForwardResult.Failed(tries.last)
     }
 
+    private fun next(attempt: Attempt, tries: Tries): ReplicaState? {
+        val state = pools.chooser.choose(attempt.service, ReplicaStage.PLAIN, tries.avoid)
+        return state?.takeIf { tries.sends == 0 || pools.repeats.take(attempt.service) }
+    }
+
     private fun mayTry(attempt: Attempt, tries: Tries): Boolean {
         val allowed = tries.sends < attempt.admission.route.maxAttempts && tries.unreachable < MOST_UNREACHABLE
         return allowed && attempt.remaining > 0 && (attempt.admission.route.repeatable || !attempt.mayHaveRun)
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -9,17 +9,21 @@
 import kotlin.random.Random
 
 /** Forwards model requests: the prompt is read by a prefill replica, the answer written by a decode replica. */
-internal class StreamForwarder(private val pools: ReplicaPools, private val sender: ReplicaSender) {
+internal class StreamForwarder(
+    private val pools: ReplicaPools,
+    private val sender: ReplicaSender,
+    private val calls: ReplicaCalls,
+) {
     private class Tries(lastEvent: Long?) {
         val order = EventOrder(lastEvent)
         val avoid = HashSet<String>()
         var sends = 0
         var unreachable = 0
-        var last = Outcome.Failure(ResultCode.CAPACITY_EXHAUSTED, retryAfterMillis = Random.nextLong(FULL_MILLIS, 2 * FULL_MILLIS))
+        var last = full()
     }
 
     private val prefills = PrefillStep(pools, sender)
-    private val places = PlaceStep(pools, sender)
+    private val places = PlaceStep(pools, calls)
 
     /** Prefills, decodes, and hands the events on to [answer]; a resumable stream that breaks goes on elsewhere. */
     suspend fun run(attempt: Attempt, answer: AnswerWriter): ForwardResult {
@@ -28,19 +32,30 @@
         val route = attempt.admission.route
         val placeUntil = attempt.request.arrivedMillis + route.objectiveMillis * PLACE_PERCENT / PERCENT
         while (mayTry(attempt, tries)) {
-            val place = places.find(attempt, tries.avoid, placeUntil) ?: break
-            if (tries.sends > 0 && !pools.repeats.take(attempt.service)) {
-                giveUp(place)
-                break
-            }
+            if (tries.sends > 0 && !pools.repeats.take(attempt.service)) break
+            val place = places.find(attempt, tries.avoid, placeUntil)
+            place ?: return unplaced(tries, answer)
             tries.avoid += place.state.replica.id
             // A prompt is read apart only for the first try; later ones are few and use the decode replica alone.
-            val ended = if (tries.sends == 0) prefilled(attempt, tries, place, answer) else decode(attempt, tries, place, null, answer)
-            if (ended is Decoded.Ended) return ended.value
+            val first = tries.sends == 0
+            val result = if (first) {
+                prefilled(
+                    attempt,
+                    tries,
+                    place,
+                    answer
+                )
+            } else {
+                decode(attempt, tries, place, null, answer)
+            }
+            if (result is Decoded.Ended) return result.value
         }
-        return if (answer.started) ForwardResult.Broken(tries.last.detail) else ForwardResult.Failed(tries.last)
+        return unplaced(tries, answer)
     }
 
+    private fun unplaced(tries: Tries, answer: AnswerWriter): ForwardResult =
+        if (answer.started) ForwardResult.Broken(tries.last.detail) else ForwardResult.Failed(tries.last)
+
     private suspend fun prefilled(attempt: Attempt, tries: Tries, place: DecodePlace, answer: AnswerWriter): Decoded {
         var cache: PrefilledCache? = null
         var free = true
@@ -53,13 +68,13 @@
             if (!pools.repeats.take(attempt.service)) return Decoded.Kept
             return decode(attempt, tries, DecodePlace(place.state, reservation = null), null, answer)
         } finally {
-            cache?.let(sender::release)
+            cache?.let(calls::release)
             if (free) giveUp(place)
         }
     }
 
     private fun giveUp(place: DecodePlace) {
-        place.reservation?.let { sender.unreserve(place.state, it) }
+        place.reservation?.let { calls.unreserve(place.state, it) }
     }
 
     private fun mayTry(attempt: Attempt, tries: Tries): Boolean {
@@ -119,7 +134,7 @@
         withCache: Boolean,
     ): Decoded {
         attempt.didNotRun()
-        tries.last = Outcome.Failure(ResultCode.CAPACITY_EXHAUSTED, retryAfterMillis = Random.nextLong(FULL_MILLIS, 2 * FULL_MILLIS))
+        tries.last = full()
         if (outcome.otherReplica) {
             tries.unreachable++
             state.silent()
@@ -164,5 +179,11 @@
         /** Part of the objective within which a place must be found; the rest is enough to read the prompt. */
         const val PLACE_PERCENT = 60
         const val PERCENT = 100
+
+        /** Spreads the callers that come back. */
+        fun full() = Outcome.Failure(
+            ResultCode.CAPACITY_EXHAUSTED,
+            retryAfterMillis = Random.nextLong(FULL_MILLIS, 2 * FULL_MILLIS),
+        )
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/CallerConnection.kt
@@ -10,20 +10,17 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpHeaders
-import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
-import io.netty.handler.codec.http.LastHttpContent
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
-import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 
@@ -36,11 +33,7 @@
     private val draining: () -> Boolean,
     private val memory: MemoryLimit,
 ) : SimpleChannelInboundHandler<HttpObject>() {
-    private class Incoming(val head: HttpRequest, val since: Long) {
-        val body = ByteArrayOutputStream()
-    }
-
-    private var incoming: Incoming? = null
+    private val incoming = IncomingRequest(limits, memory)
     private val waiting = ArrayDeque<Pair<CallerRequest, Boolean>>()
     private var job: Job? = null
     private var closing = false
@@ -50,55 +43,27 @@
     val answering: Boolean get() = job?.isActive == true
 
     override fun channelRead0(ctx: ChannelHandlerContext, message: HttpObject) {
-        when {
-            closing -> Unit
-            message.decoderResult().isFailure -> refuse(faultOf(message.decoderResult().cause()))
-            else -> {
-                if (message is HttpRequest) begin(message)
-                if (message is HttpContent && !closing) add(message)
-            }
+        if (closing) return
+        val fault = if (message.decoderResult().isFailure) {
+            faultOf(
+                message.decoderResult().cause()
+            )
+        } else {
+            incoming.add(message)
         }
-    }
-
-    private fun faultOf(cause: Throwable) =
-        if (cause is TooLongHttpHeaderException) ResultCode.HEADERS_TOO_LARGE else ResultCode.MALFORMED_REQUEST
-
-    private fun begin(head: HttpRequest) {
-        incoming = Incoming(head, nowMillis())
-        val length = head.headers().get(HttpHeaderNames.CONTENT_LENGTH)?.toLongOrNull() ?: 0
-        val chunked = head.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
-        val ambiguous = chunked && head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-        when {
-            ambiguous || chunked && !HttpUtil.isTransferEncodingChunked(head) -> refuse(ResultCode.MALFORMED_REQUEST)
-            length > limits().bodyBytes -> refuse(ResultCode.BODY_TOO_LARGE)
-            HttpUtil.is100ContinueExpected(head) -> channel.writeAndFlush(interim())
+        if (fault != null) return refuse(fault)
+        if (message is HttpRequest && HttpUtil.is100ContinueExpected(message)) {
+            channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
-    }
-
-    private fun interim() = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE)
-
-    private fun add(content: HttpContent) {
-        val request = incoming ?: return
-        val bytes = ByteArray(content.content().readableBytes()).also { content.content().readBytes(it) }
-        when {
-            request.body.size() + bytes.size > limits().bodyBytes -> refuse(ResultCode.BODY_TOO_LARGE)
-            !memory.take(bytes.size) -> refuse(ResultCode.CAPACITY_EXHAUSTED)
-            else -> {
-                request.body.writeBytes(bytes)
-                if (content is LastHttpContent) complete(request)
-            }
+        incoming.takeWhole()?.let { (request, keepAlive) ->
+            waiting += request to keepAlive
+            if (waiting.size >= MOST_PIPELINED) channel.config().isAutoRead = false
+            if (!answering) answerNext()
         }
     }
 
-    private fun complete(request: Incoming) {
-        incoming = null
-        val head = request.head
-        val whole =
-            CallerRequest(head.method().name(), head.uri(), head.headers(), request.body.toByteArray(), request.since)
-        waiting += whole to HttpUtil.isKeepAlive(head)
-        if (waiting.size >= MOST_PIPELINED) channel.config().isAutoRead = false
-        if (!answering) answerNext()
-    }
+    private fun faultOf(cause: Throwable) =
+        if (cause is TooLongHttpHeaderException) ResultCode.HEADERS_TOO_LARGE else ResultCode.MALFORMED_REQUEST
 
     private fun answerNext() {
         val (request, keepAlive) = waiting.removeFirstOrNull() ?: return
@@ -129,7 +94,7 @@
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
-        incoming?.let { memory.release(it.body.size()) }
+        incoming.discard()
         waiting.forEach { memory.release(it.first.body.size) }
         waiting.clear()
         job?.cancel()
@@ -143,8 +108,7 @@
     /** Answers what cannot be read as a request, and closes. */
     private fun refuse(code: ResultCode) {
         closing = true
-        incoming?.let { memory.release(it.body.size()) }
-        incoming = null
+        incoming.discard()
         log.atInfo().addKeyValue("code", code.label).log("a request was refused before it was read")
         val answer = ErrorAnswer.of(code, detail = "", requestId = null)
         val response =
@@ -170,15 +134,15 @@
 
     /** Closes the connection if no request is read or answered on it. */
     fun closeIfIdle() {
-        if (!answering && incoming == null && waiting.isEmpty()) closeGently()
+        if (!answering && incoming.since == null && waiting.isEmpty()) closeGently()
     }
 
     /** Closes the connection if it has been idle, or a request takes too long to arrive. */
     fun checkTimes(now: CallerLimits) {
-        val request = incoming
+        val since = incoming.since
         when {
-            request != null && nowMillis() - request.since > BODY_MILLIS -> refuse(ResultCode.BODY_TIMEOUT)
-            request == null && !answering && nowMillis() - quietSince > now.idleMillis -> closeGently()
+            since != null && nowMillis() - since > BODY_MILLIS -> refuse(ResultCode.BODY_TIMEOUT)
+            since == null && !answering && nowMillis() - quietSince > now.idleMillis -> closeGently()
         }
     }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/ErrorAnswer.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/ErrorAnswer.kt
@@ -22,7 +22,10 @@
                     .put("type", code.name.lowercase())
                     .put("run", code.run.wire)
                     .put("request_id", requestId)
-            val body = JsonNodeFactory.instance.objectNode().set<com.fasterxml.jackson.databind.JsonNode>("error", error)
+            val body = JsonNodeFactory.instance.objectNode().set<com.fasterxml.jackson.databind.JsonNode>(
+                "error",
+                error
+            )
             val headers = DefaultHttpHeaders()
             headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json")
             retryAfterMillis?.let { headers.set(HttpHeaderNames.RETRY_AFTER, seconds(it)) }
