--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Attempt.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Attempt.kt
@@ -20,6 +20,15 @@
     /** Tokens that the request costs its workspace. */
     var cost = 0.0
 
+    /** Milliseconds from the request's arrival to its first event, or null before. */
+    var firstEventMillis: Long? = null
+        private set
+
+    /** Longest pause between two events that were handed on, in milliseconds. */
+    var longestPauseMillis = 0L
+        private set
+
+    private var lastEventAt = 0L
     private var runs = 0
 
     /** Whether a replica may have begun to run the request. */
@@ -31,6 +40,17 @@
     /** Milliseconds until the end. */
     val remaining: Long get() = endsAtMillis - nowMillis()
 
+    /** An event was handed on to the caller. */
+    fun handedOn() {
+        val now = nowMillis()
+        if (firstEventMillis == null) {
+            firstEventMillis = now - request.arrivedMillis
+        } else {
+            longestPauseMillis = maxOf(longestPauseMillis, now - lastEventAt)
+        }
+        lastEventAt = now
+    }
+
     /** The request is about to be sent to a replica that will run it. */
     fun sending() {
         runs++
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
@@ -59,6 +59,7 @@
                 // The answer keeps the head of the first replica.
                 if (!answer.started) answer.begin(OK, sender.toCaller(head.headers()))
                 answer.send(event.bytes)
+                attempt.handedOn()
             }
         }
     }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/RequestJournal.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/RequestJournal.kt
@@ -55,6 +55,8 @@
             .addKeyValue("config", attempt.admission.configVersion)
             .addKeyValue("tokens", attempt.cost.toLong())
             .addKeyValue("millis", millis)
+            .addKeyValue("first_event_millis", attempt.firstEventMillis)
+            .addKeyValue("longest_pause_millis", attempt.longestPauseMillis)
             .addKeyValue("tried", attempt.trail.joinToString("; "))
             .addKeyValue("outcome", outcome)
             .log("request ended")
