Trial: admission by expected growth, early refusal; prefill replicas chosen by pace

Change: places near a slow prefill replica cost more than any load; the whole expected size and the growth of running requests are reserved; decode replicas read prompts only when idle.

--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaChooser.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaChooser.kt
@@ -38,9 +38,22 @@
         val memory = capacity(service)
         // A request that is larger than what is left of any empty replica is tried as well.
         val roomy = sound.filter { it.room(memory) >= tokens || it.room(memory) >= memory }
-        return best(service, roomy, near = null)
+        return roomy.minByOrNull {
+            it.cost(memory) + distanceCost(it, near = null) + prefillCost(service, it) + random.nextDouble() * JITTER
+        }
     }
 
+    /** Cost of reading a prompt for [decode]: KV cache comes from its own region only. */
+    private fun prefillCost(service: String, decode: ReplicaState): Double {
+        val near = decode.replica.failureDomain
+        val prefill = choose(service, ReplicaStage.PREFILL, near = near) ?: return OWN_PREFILL_COST
+        if (prefill.silent) return OWN_PREFILL_COST
+        return minOf(OWN_PREFILL_COST, prefill.cost(capacity(service)) * PREFILL_WEIGHT)
+    }
+
+    /** Load of [state] by what this VM knows; 1 is a replica that is full. */
+    fun load(service: String, state: ReplicaState): Double = state.cost(capacity(service))
+
     private fun best(service: String, states: List<ReplicaState>, near: String?): ReplicaState? {
         val memory = capacity(service)
         return states.minByOrNull { it.cost(memory) + distanceCost(it, near) + random.nextDouble() * JITTER }
@@ -58,7 +71,16 @@
          * domains are a millisecond apart and cost little; regions are 30 ms apart over a narrow link, but a request
          * that would be refused is better served there.
          */
-        val DISTANCE_COST = doubleArrayOf(0.0, 0.1, 0.6)
+        val DISTANCE_COST = doubleArrayOf(0.0, 0.1, 0.3)
+
+        /**
+         * Worse than any load: without a prefill replica a decode replica must read the prompt, which delays the
+         * answers of all its requests. Its places are free because no prompt is read for them.
+         */
+        const val OWN_PREFILL_COST = 2.0
+
+        /** A prompt that waits for half of the objective weighs as much as a decode replica that is full. */
+        const val PREFILL_WEIGHT = 2.0
 
         /** Spreads the choices of VMs that know the same, so that they do not all choose one replica. */
         const val JITTER = 0.1
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
@@ -13,6 +13,8 @@
 
     private var inFlight = 0
     private var ownTokens = 0L
+    private val recent = RecentSum()
+    private val pace = PrefillPace()
     private var otherTokens = 0L
     private var load: ReplicaLoad? = null
     private var loadAt = 0L
@@ -22,14 +24,20 @@
     /** Requests of this VM that the replica has now. */
     val open: Int @Synchronized get() = inFlight
 
-    /** Tokens of requests of this VM that the replica works on. */
-    val tokens: Long @Synchronized get() = ownTokens
+    /**
+     * Tokens of this VM's requests that occupy the replica: those that it holds at a decode replica, and those of the
+     * last second at a prefill replica, which reads a prompt faster than VMs hear of each other.
+     */
+    val tokens: Long
+        @Synchronized get() =
+            if (replica.stage == ReplicaStage.PREFILL) recent.value(clock.millis()).toLong() else ownTokens
 
     /** Counts a request of [tokens] that is sent to the replica. */
     @Synchronized
     fun began(tokens: Int) {
         inFlight++
         ownTokens += tokens
+        recent.add(tokens, clock.millis())
     }
 
     /** Counts the end of a request of [tokens], however it ended. */
@@ -45,6 +53,10 @@
         otherTokens = tokens
     }
 
+    /** A prompt of [tokens] was read within [elapsedMillis], or was not read within that time. */
+    @Synchronized
+    fun read(tokens: Int, elapsedMillis: Long) = pace.observed(tokens, elapsedMillis, clock.millis())
+
     /** Takes over the load that an answer reported. */
     @Synchronized
     fun reported(next: ReplicaLoad) {
@@ -72,6 +84,9 @@
     /** Whether the replica said a moment ago that it is full. */
     val full: Boolean @Synchronized get() = clock.millis() < fullUntil
 
+    /** Tokens by which the requests known to be at the replica are expected to grow. */
+    val growth: Int @Synchronized get() = ((ownTokens + otherTokens) * GROWTH_PART).toInt()
+
     /** Tokens that fit into the replica's memory of [capacity] tokens besides those known to be there. */
     @Synchronized
     fun room(capacity: Int): Long = capacity - ownTokens - otherTokens
@@ -83,8 +98,24 @@
      */
     @Synchronized
     fun cost(capacity: Int): Double {
-        val full = if (replica.stage == ReplicaStage.PREFILL) PREFILL_QUEUE_TOKENS else capacity.toDouble()
-        return health.cost + if (capacity > 0) (ownTokens + otherTokens) / full else requestLoad()
+        val load =
+            when (replica.stage) {
+                ReplicaStage.PREFILL -> prefillWait()
+                ReplicaStage.DECODE -> (ownTokens + otherTokens).toDouble() / maxOf(1, capacity)
+                ReplicaStage.PLAIN -> requestLoad()
+            }
+        return health.cost + load
+    }
+
+    /**
+     * Expected queueing time in objectives: what this VM saw lately, or what the prompts of all VMs cause at an engine
+     * of known speed (M/D/1), and what this VM has there now.
+     */
+    private fun prefillWait(): Double {
+        val now = clock.millis()
+        val busy = minOf((recent.value(now) + otherTokens) / PREFILL_TOKENS_PER_SECOND, MOST_BUSY)
+        val wait = maxOf(busy / (1 - busy) / 2, pace.excess(now))
+        return wait * MEAN_PREFILL + ownTokens / PREFILL_QUEUE_TOKENS
     }
 
     private fun requestLoad(): Double {
@@ -96,8 +127,20 @@
     }
 
     private companion object {
-        /** A prefill replica reads some 50 tokens a millisecond; this many take half of the objective. */
-        const val PREFILL_QUEUE_TOKENS = 25_000.0
+        /** Requests are on the average half through their answers, which are some two fifths of their memory. */
+        const val GROWTH_PART = 0.2
+
+        /** Engines read some 50 tokens a millisecond; slower ones show by their failures. */
+        const val PREFILL_TOKENS_PER_SECOND = 50_000.0
+
+        /** Tokens that take one objective of 0.9 s to read. */
+        const val PREFILL_QUEUE_TOKENS = 45_000.0
+
+        /** Time of a mean prompt of 5,000 tokens, in objectives. */
+        const val MEAN_PREFILL = 0.11
+
+        /** Keeps the expected wait finite; at this load it is one objective. */
+        const val MOST_BUSY = 0.95
 
         /** Own requests also count by number, since replicas with many places slow down with each of them. */
         const val OWN_REQUESTS_SCALE = 16.0
--- a/core/src/main/kotlin/fireflyhinge/forward/RequestFacts.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/RequestFacts.kt
@@ -24,14 +24,8 @@
     val tokens: Int? get() = if (promptTokens == null) null else promptTokens + (outputTokens ?: 0)
 
     /**
-     * KV memory, in tokens, that the request takes on the average over its run: requests of a replica are at different
-     * points of their answers, so that reserving the final size of each would leave memory unused.
+     * KV memory, in tokens, that the request is expected to have taken at the end of its run. A replica that runs out
+     * of memory interrupts a request and reads its prompt anew, which holds up all its other answers.
      */
-    val typicalMemory: Int
-        get() = (promptTokens ?: 0) + ((expectedOutput ?: outputTokens ?: 0) * TYPICAL_OUTPUT_PART).toInt()
-
-    private companion object {
-        /** A little over one half, since the memory of a replica that runs out is expensive. */
-        const val TYPICAL_OUTPUT_PART = 0.6
-    }
+    val expectedMemory: Int get() = (promptTokens ?: 0) + (expectedOutput ?: outputTokens ?: 0)
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -10,6 +10,7 @@
 import fireflyhinge.forward.ForwardConfig
 import fireflyhinge.forward.QuotaShares
 import fireflyhinge.forward.RepeatShares
+import fireflyhinge.forward.Replica
 import fireflyhinge.forward.ReplicaChooser
 import fireflyhinge.forward.ReplicaTable
 import fireflyhinge.forward.VmRecord
@@ -164,10 +165,15 @@
     private fun list(state: FeedState) {
         val replicas = dialects.feeds.replicas(state.items().values)
         table.replace(replicas)
-        log.atInfo().addKeyValue("replicas", replicas.map { "${it.id}${if (it.leaving) " leaving" else ""}" })
+        log.atInfo().addKeyValue("replicas", replicas.map(::describe))
             .log("replicas listed")
     }
 
+    private fun describe(replica: Replica): String {
+        val state = if (replica.leaving) " leaving" else ""
+        return "${replica.id} ${replica.stage} ${replica.failureDomain}$state"
+    }
+
     private companion object {
         /** Callers that hold an older answer come in this time; later ones are refused and use another address. */
         const val ANNOUNCED_MILLIS = 2_500L
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
@@ -25,7 +25,7 @@
     /** Sends the request to [state]'s replica and hands the events on. */
     suspend fun run(state: ReplicaState, call: ReplicaCall): DecodeOutcome =
         try {
-            sender.use(state, attempt.facts.typicalMemory) { connection ->
+            sender.use(state, attempt.facts.expectedMemory) { connection ->
                 // Silence before the first event may be a queue; afterwards the pauses of a sound run are short.
                 val wait = if (patient) attempt.remaining else FIRST_EVENT_MILLIS
                 val head = withTimeoutOrNull(wait) { sender.begin(connection, attempt.request, call) }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Forwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Forwarder.kt
@@ -122,7 +122,7 @@
         /** A VM that starts has the configuration within about this time. */
         const val NO_CONFIG_MILLIS = 500L
 
-        /** A request may wait this part of its objective for tokens; the rest is enough to serve it in time. */
-        const val QUOTA_WAIT_PARTS = 3
+        /** A request may wait for tokens for its objective divided by this; longer waits are refusals that come late. */
+        const val QUOTA_WAIT_PARTS = 8
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlaceStep.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlaceStep.kt
@@ -13,7 +13,7 @@
      * A place at a replica that is not in [avoid]; waits until [untilMillis] if all are full. Null if none was found.
      */
     suspend fun find(attempt: Attempt, avoid: Set<String>, untilMillis: Long): DecodePlace? {
-        val tokens = attempt.facts.typicalMemory
+        val tokens = attempt.facts.expectedMemory
         val tried = HashSet(avoid)
         while (true) {
             val state = pools.chooser.withRoom(attempt.service, tokens, tried)
@@ -33,7 +33,8 @@
         tried: MutableSet<String>,
     ): DecodePlace? {
         val id = state.replica.id
-        return when (val answer = calls.reserve(state, tokens)) {
+        // The replica knows what is in its memory now, but not what the requests there will need yet.
+        return when (val answer = calls.reserve(state, tokens + state.growth)) {
             is Reservation.Granted -> DecodePlace(state, answer.id)
             Reservation.Unsupported -> DecodePlace(state, reservation = null)
             Reservation.Full -> null.also { state.full() }
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillResult.kt
@@ -0,0 +1,15 @@
+package fireflyhinge.gateway.forward
+
+import fireflyhinge.forward.PrefilledCache
+
+/** What became of reading a prompt. */
+internal sealed interface PrefillResult {
+    /** A prefill replica holds [cache]. */
+    data class Read(val cache: PrefilledCache) : PrefillResult
+
+    /** No prefill replica is listed near the decode replica. */
+    data object NoReplica : PrefillResult
+
+    /** The prefill replicas that were tried gave no cache. */
+    data object Failed : PrefillResult
+}
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillStep.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillStep.kt
@@ -3,23 +3,24 @@
 import fireflyhinge.forward.PrefilledCache
 import fireflyhinge.forward.ReplicaStage
 import fireflyhinge.forward.ReplicaState
+import fireflyhinge.gateway.http.nowMillis
 
 /** Has the prompt of a model request read by a prefill replica. */
 internal class PrefillStep(private val pools: ReplicaPools, private val sender: ReplicaSender) {
     /**
-     * The KV cache of the prompt, or null if no prefill replica gave one; a decode replica then reads the prompt by
-     * itself. Reading the prompt is not a run, so it may be tried again. The cache is fetched from [near], so it must
-     * be in the same region.
+     * Has the prompt read. That is not a run, so it may be tried again. The cache is to be fetched from [near], so it
+     * must be in the same region. [repeated] says that the prompt was read before.
      */
-    suspend fun run(attempt: Attempt, near: String): PrefilledCache? {
+    suspend fun run(attempt: Attempt, near: String, repeated: Boolean): PrefillResult {
         val avoid = HashSet<String>()
         repeat(MOST_TRIES) { number ->
-            val state = pools.chooser.choose(attempt.service, ReplicaStage.PREFILL, avoid, near) ?: return null
-            if (number > 0 && !pools.repeats.take(attempt.service)) return null
+            val state = pools.chooser.choose(attempt.service, ReplicaStage.PREFILL, avoid, near)
+            state ?: return if (number == 0) PrefillResult.NoReplica else PrefillResult.Failed
+            if ((repeated || number > 0) && !pools.repeats.take(attempt.service)) return PrefillResult.Failed
             avoid += state.replica.id
-            send(attempt, state)?.let { return it }
+            send(attempt, state)?.let { return PrefillResult.Read(it) }
         }
-        return null
+        return PrefillResult.Failed
     }
 
     private suspend fun send(attempt: Attempt, state: ReplicaState): PrefilledCache? {
@@ -32,10 +33,12 @@
             )
         val patience = minOf(PATIENCE_MILLIS, attempt.remaining)
         val tokens = attempt.facts.promptTokens ?: 0
+        val began = nowMillis()
         val result = sender.whole(state, attempt.request, call, patience, tokens)
         val cache = (result as? SendResult.Answered)?.takeIf { it.status == OK }
             ?.let { sender.cache(state.replica.address, it.body) }
-        attempt.trail += "prefill ${state.replica.id} ${if (cache == null) describe(result) else "ok"}"
+        attempt.trail += "prefill ${state.replica.id} ${if (cache == null) describe(result) else "ok"} ${nowMillis() - began} ms"
+        if (cache != null || result is SendResult.Lost) state.read(tokens, nowMillis() - began)
         when {
             cache != null -> state.answered(good = true)
             result is SendResult.Answered && result.facts.notRun && !result.facts.otherReplica -> state.full()
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -18,6 +18,7 @@
         val order = EventOrder(lastEvent)
         val avoid = HashSet<String>()
         var sends = 0
+        var reads = 0
         var unreachable = 0
         var last = full()
     }
@@ -37,17 +38,7 @@
             place ?: return unplaced(tries, answer)
             tries.avoid += place.state.replica.id
             // A prompt is read apart only for the first try; later ones are few and use the decode replica alone.
-            val first = tries.sends == 0
-            val result = if (first) {
-                prefilled(
-                    attempt,
-                    tries,
-                    place,
-                    answer
-                )
-            } else {
-                decode(attempt, tries, place, null, answer)
-            }
+            val result = readAndDecode(attempt, tries, place, answer)
             if (result is Decoded.Ended) return result.value
         }
         return unplaced(tries, answer)
@@ -56,30 +47,56 @@
     private fun unplaced(tries: Tries, answer: AnswerWriter): ForwardResult =
         if (answer.started) ForwardResult.Broken(tries.last.detail) else ForwardResult.Failed(tries.last)
 
-    private suspend fun prefilled(attempt: Attempt, tries: Tries, place: DecodePlace, answer: AnswerWriter): Decoded {
+    private suspend fun readAndDecode(
+        attempt: Attempt,
+        tries: Tries,
+        place: DecodePlace,
+        answer: AnswerWriter,
+    ): Decoded {
+        val result = readOnce(attempt, tries, place, answer)
+        // A cache that lapsed is read again for the same replica, which has room.
+        val again = result is Decoded.CacheLost && pools.repeats.take(attempt.service)
+        return if (again) readOnce(attempt, tries, DecodePlace(place.state, reservation = null), answer) else result
+    }
+
+    private suspend fun readOnce(
+        attempt: Attempt,
+        tries: Tries,
+        place: DecodePlace,
+        answer: AnswerWriter,
+    ): Decoded {
         var cache: PrefilledCache? = null
         var free = true
         try {
-            cache = prefills.run(attempt, place.state.replica.failureDomain)
+            val read = prefills.run(attempt, place.state.replica.failureDomain, repeated = tries.reads++ > 0)
+            cache = (read as? PrefillResult.Read)?.cache
+            if (cache == null && !mayReadItself(attempt, place.state, read)) {
+                tries.unreachable++
+                tries.last = full()
+                return Decoded.Kept
+            }
             free = false
-            val result = decode(attempt, tries, place, cache, answer)
-            // A cache is gone after a run; after a refusal the replica may still read the prompt itself.
-            if (result !is Decoded.CacheLost) return result.also { if (it is Decoded.Ended) cache = null }
-            if (!pools.repeats.take(attempt.service)) return Decoded.Kept
-            return decode(attempt, tries, DecodePlace(place.state, reservation = null), null, answer)
+            return decode(attempt, tries, place, cache, answer).also { if (it is Decoded.Ended) cache = null }
         } finally {
             cache?.let(calls::release)
             if (free) giveUp(place)
         }
     }
 
+    /**
+     * A decode replica that reads a prompt holds up the answers of all its other requests for longer than a stream may
+     * pause. So it does that only while it has few of them, or where there is no prefill replica.
+     */
+    private fun mayReadItself(attempt: Attempt, state: ReplicaState, read: PrefillResult): Boolean =
+        read == PrefillResult.NoReplica || pools.chooser.load(attempt.service, state) < IDLE_LOAD
+
     private fun giveUp(place: DecodePlace) {
         place.reservation?.let { calls.unreserve(place.state, it) }
     }
 
     private fun mayTry(attempt: Attempt, tries: Tries): Boolean {
         val route = attempt.admission.route
-        val allowed = tries.avoid.size < route.maxAttempts + tries.unreachable && tries.unreachable < MOST_UNREACHABLE
+        val allowed = tries.sends < route.maxAttempts && tries.unreachable < MOST_UNREACHABLE
         return allowed && attempt.remaining > 0 && (route.resumable || !attempt.mayHaveRun)
     }
 
@@ -172,12 +189,15 @@
         /** Replicas that cannot be reached before a request is given up. */
         const val MOST_UNREACHABLE = 3
 
+        /** Load of a decode replica with about two requests. */
+        const val IDLE_LOAD = 0.25
+
         /** When a caller may come back: after the next try of a replica that failed, and when answers have ended. */
         const val NO_REPLICA_MILLIS = 500L
-        const val FULL_MILLIS = 1_500L
+        const val FULL_MILLIS = 2_250L
 
-        /** Part of the objective within which a place must be found; the rest is enough to read the prompt. */
-        const val PLACE_PERCENT = 60
+        /** Part of the objective that a request waits for a place; callers should rather come back after a burst. */
+        const val PLACE_PERCENT = 12
         const val PERCENT = 100
 
         /** Spreads the callers that come back. */
