--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
@@ -13,8 +13,7 @@
 
     private var inFlight = 0
     private var ownTokens = 0L
-    private val recent = RecentSum()
-    private val pace = PrefillPace()
+    private val prefill = PrefillLoad()
     private var otherTokens = 0L
     private var load: ReplicaLoad? = null
     private var loadAt = 0L
@@ -30,14 +29,14 @@
      */
     val tokens: Long
         @Synchronized get() =
-            if (replica.stage == ReplicaStage.PREFILL) recent.value(clock.millis()).toLong() else ownTokens
+            if (replica.stage == ReplicaStage.PREFILL) prefill.recent(clock.millis()) else ownTokens
 
     /** Counts a request of [tokens] that is sent to the replica. */
     @Synchronized
     fun began(tokens: Int) {
         inFlight++
         ownTokens += tokens
-        recent.add(tokens, clock.millis())
+        prefill.sent(tokens, clock.millis())
     }
 
     /** Counts the end of a request of [tokens], however it ended. */
@@ -55,7 +54,7 @@
 
     /** A prompt of [tokens] was read within [elapsedMillis], or was not read within that time. */
     @Synchronized
-    fun read(tokens: Int, elapsedMillis: Long) = pace.observed(tokens, elapsedMillis, clock.millis())
+    fun read(tokens: Int, elapsedMillis: Long) = prefill.read(tokens, elapsedMillis, clock.millis())
 
     /** Takes over the load that an answer reported. */
     @Synchronized
@@ -72,17 +71,16 @@
     @Synchronized
     fun silent() = health.silent(clock.millis())
 
-    /** The replica said that it is full: it is left out for [FULL_PAUSE_MILLIS]. */
-    @Synchronized
-    fun full() {
-        fullUntil = clock.millis() + FULL_PAUSE_MILLIS
-    }
-
     /** Whether the replica is left out because it gave no answer lately. */
     val silent: Boolean @Synchronized get() = health.leftOut(clock.millis())
 
-    /** Whether the replica said a moment ago that it is full. */
-    val full: Boolean @Synchronized get() = clock.millis() < fullUntil
+    /** Whether the replica said that it is full, within the last [FULL_PAUSE_MILLIS]. */
+    var full: Boolean
+        @Synchronized get() = clock.millis() < fullUntil
+
+        @Synchronized set(value) {
+            fullUntil = if (value) clock.millis() + FULL_PAUSE_MILLIS else 0
+        }
 
     /** Tokens by which the requests known to be at the replica are expected to grow. */
     val growth: Int @Synchronized get() = ((ownTokens + otherTokens) * GROWTH_PART).toInt()
@@ -100,24 +98,13 @@
     fun cost(capacity: Int): Double {
         val load =
             when (replica.stage) {
-                ReplicaStage.PREFILL -> prefillWait()
+                ReplicaStage.PREFILL -> prefill.wait(ownTokens, otherTokens, clock.millis())
                 ReplicaStage.DECODE -> (ownTokens + otherTokens).toDouble() / maxOf(1, capacity)
                 ReplicaStage.PLAIN -> requestLoad()
             }
         return health.cost + load
     }
 
-    /**
-     * Expected queueing time in objectives: what this VM saw lately, or what the prompts of all VMs cause at an engine
-     * of known speed (M/D/1), and what this VM has there now.
-     */
-    private fun prefillWait(): Double {
-        val now = clock.millis()
-        val busy = minOf((recent.value(now) + otherTokens) / PREFILL_TOKENS_PER_SECOND, MOST_BUSY)
-        val wait = maxOf(busy / (1 - busy) / 2, pace.excess(now))
-        return wait * MEAN_PREFILL + ownTokens / PREFILL_QUEUE_TOKENS
-    }
-
     private fun requestLoad(): Double {
         val seen = load
         val age = clock.millis() - loadAt
@@ -128,19 +115,7 @@
 
     private companion object {
         /** Requests are on the average half through their answers, which are some two fifths of their memory. */
-        const val GROWTH_PART = 0.2
-
-        /** Engines read some 50 tokens a millisecond; slower ones show by their failures. */
-        const val PREFILL_TOKENS_PER_SECOND = 50_000.0
-
-        /** Tokens that take one objective of 0.9 s to read. */
-        const val PREFILL_QUEUE_TOKENS = 45_000.0
-
-        /** Time of a mean prompt of 5,000 tokens, in objectives. */
-        const val MEAN_PREFILL = 0.11
-
-        /** Keeps the expected wait finite; at this load it is one objective. */
-        const val MOST_BUSY = 0.95
+        const val GROWTH_PART = 0.0
 
         /** Own requests also count by number, since replicas with many places slow down with each of them. */
         const val OWN_REQUESTS_SCALE = 16.0
--- /dev/null
+++ b/core/src/test/kotlin/fireflyhinge/forward/FeedStateTest.kt
@@ -0,0 +1,47 @@
+package fireflyhinge.forward
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class FeedStateTest {
+    private val clock = ManualClock()
+    private val state = FeedState(graceMillis = 2_000, clock)
+
+    private fun item(name: String, revision: Long = 1) = FeedItem(name, revision, "{}")
+
+    private fun removed(vararg names: String, at: Long) = FeedAnswer.Changes(emptyList(), names.toSet(), at)
+
+    /** Guards against replicas that are taken for gone although they write their entry again after an outage. */
+    @Test
+    fun whatVanishedInAnOutageIsKeptUntilItsAbsenceIsCertain() {
+        state.replace(listOf(item("a"), item("b"), item("c")), revision = 5, doubtful = false)
+        state.replace(listOf(item("a")), revision = 9, doubtful = true)
+        assertEquals(setOf("a", "b", "c"), state.items().keys)
+        clock.advance(1_000)
+        state.apply(FeedAnswer.Changes(listOf(item("b", 10)), emptySet(), 10), doubtful = true)
+        clock.advance(1_000)
+        assertTrue(state.settle())
+        assertEquals(setOf("a", "b"), state.items().keys)
+        clock.advance(10_000)
+        assertFalse(state.settle())
+    }
+
+    /** Guards against a replica that gets requests after its entry was removed in ordinary times. */
+    @Test
+    fun aRemovalInOrdinaryTimesHoldsAtOnce() {
+        state.replace(listOf(item("a"), item("b")), revision = 5, doubtful = false)
+        state.apply(removed("a", at = 6), doubtful = false)
+        assertEquals(setOf("b"), state.items().keys)
+    }
+
+    /** Guards against a configuration that goes back to an older version because an old copy arrives late. */
+    @Test
+    fun anOlderCopyChangesNothing() {
+        state.replace(listOf(item("a", 7)), revision = 7, doubtful = false)
+        assertFalse(state.replace(listOf(item("a", 3)), revision = 6, doubtful = false))
+        assertFalse(state.apply(removed("a", at = 6), doubtful = false))
+        assertEquals(7, state.items().getValue("a").revision)
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/fireflyhinge/forward/FleetViewTest.kt
@@ -0,0 +1,55 @@
+package fireflyhinge.forward
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+class FleetViewTest {
+    private val clock = ManualClock()
+    private val fleet = FleetView(vm("own", "north"), clock)
+    private val domains = FailureDomains("north", mapOf("north" to "r1", "south" to "r1", "west" to "r2"))
+
+    private fun vm(name: String, domain: String, beat: Long = 1, ready: Boolean = true) =
+        VmRecord(name, "$name:1", "$name:2", domain, startedAt = 1, beat = beat, ready = ready)
+
+    private fun fronts(domain: String?) = CallerAddresses(fleet, domains).select(domain).toSet()
+
+    /** Guards against callers that are sent to VMs that are silent, refuse connections, or take no requests. */
+    @Test
+    fun callersGetVmsThatTakeRequests() {
+        fleet.beat(ready = true)
+        fleet.merge(listOf(vm("a", "north"), vm("b", "south"), vm("c", "west"), vm("d", "west", ready = false)))
+        listOf(
+            Triple("two in the failure domain", "north", setOf("own:1", "a:1")),
+            Triple("one there, others in the region", "south", setOf("own:1", "a:1", "b:1")),
+            Triple("one in the region", "west", setOf("own:1", "a:1", "b:1", "c:1")),
+        ).forEach { (what, domain, expected) -> assertEquals(expected, fronts(domain), what) }
+        fleet.refused("a")
+        assertEquals(setOf("own:1", "b:1"), fronts("north"), "a refused a connection")
+        fleet.merge(listOf(vm("a", "north", beat = 2)))
+        assertEquals(setOf("own:1", "a:1"), fronts("north"), "a runs again")
+        clock.advance(3_000)
+        assertEquals(setOf("own:1"), fronts("north"), "all others are silent")
+    }
+
+    /** Guards against a VM that is cut off and takes the shares of all others, who still use them. */
+    @Test
+    fun limitsAreSharedWithSilentVmsWhileMostAreSilent() {
+        fleet.merge((1..7).map { vm("v$it", "north") })
+        assertEquals(8, fleet.sharing())
+        clock.advance(21_000)
+        assertEquals(8, fleet.sharing(), "cut off")
+        fleet.merge((1..5).map { vm("v$it", "north", beat = 2) })
+        assertEquals(6, fleet.sharing(), "two are gone for good")
+    }
+
+    /** Guards against load that is counted twice or kept after its VM has gone. */
+    @Test
+    fun theTokensOfOtherVmsAreAdded() {
+        val a = vm("a", "north").copy(tokens = mapOf("x" to 5))
+        val b = vm("b", "west").copy(tokens = mapOf("x" to 2, "y" to 1))
+        fleet.merge(listOf(a, b))
+        assertEquals(mapOf("x" to 7L, "y" to 1L), fleet.othersTokens())
+        clock.advance(3_000)
+        assertEquals(emptyMap<String, Long>(), fleet.othersTokens())
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/fireflyhinge/forward/ReplicaChooserTest.kt
@@ -0,0 +1,87 @@
+package fireflyhinge.forward
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+class ReplicaChooserTest {
+    private val clock = ManualClock()
+    private val table = ReplicaTable(clock)
+    private val domains = FailureDomains("north", mapOf("north" to "r1", "south" to "r1", "west" to "r2"))
+    private val chooser = ReplicaChooser(table, domains, { MEMORY }, Random(1))
+
+    private fun replica(id: String, domain: String, stage: ReplicaStage, leaving: Boolean = false) =
+        Replica(id, "s", "$id:1", domain, stage, slots = 4, leaving = leaving)
+
+    private fun state(id: String) = table.usable("s", ReplicaStage.DECODE).first { it.replica.id == id }
+
+    /** Guards against requests to replicas that leave, are silent, were tried already, or are in another region. */
+    @Test
+    fun unusableReplicasAreLeftOut() {
+        table.replace(
+            listOf(
+                replica("near", "north", ReplicaStage.DECODE),
+                replica("silent", "north", ReplicaStage.DECODE),
+                replica("leaving", "north", ReplicaStage.DECODE, leaving = true),
+                replica("far", "west", ReplicaStage.DECODE),
+            ),
+        )
+        state("silent").silent()
+        assertTrue((1..50).all { chooser.choose("s", ReplicaStage.DECODE)?.replica?.id == "near" })
+        assertEquals("far", chooser.choose("s", ReplicaStage.DECODE, avoid = setOf("near"))?.replica?.id)
+        val own = chooser.choose("s", ReplicaStage.DECODE, avoid = setOf("near"), near = "north")
+        assertEquals("silent", own?.replica?.id, "a silent replica is better than one in another region")
+    }
+
+    /** Guards against prompts that are read for a replica whose memory other VMs have filled. */
+    @Test
+    fun aPlaceNeedsRoomBesideTheTokensOfAllVms() {
+        table.replace(listOf(replica("d", "north", ReplicaStage.DECODE)))
+        state("d").began(20_000)
+        table.othersHave(mapOf("d" to 25_000))
+        assertEquals("d", chooser.withRoom("s", 5_000, emptySet())?.replica?.id)
+        assertNull(chooser.withRoom("s", 5_001, emptySet()))
+        state("d").ended(20_000)
+        assertEquals("d", chooser.withRoom("s", 25_000, emptySet())?.replica?.id)
+    }
+
+    /**
+     * Load: one region has one prefill replica, which falls behind, while its decode replicas stay empty because no
+     * prompt is read for them. Guards against places there that attract the requests of both regions.
+     */
+    @Test
+    fun emptyDecodeReplicasBesideASlowPrefillReplicaAttractNoRequests() {
+        table.replace(
+            listOf(
+                replica("p-west", "west", ReplicaStage.PREFILL),
+                replica("d-west", "west", ReplicaStage.DECODE),
+                replica("p-north", "north", ReplicaStage.PREFILL),
+                replica("d-north", "north", ReplicaStage.DECODE),
+            ),
+        )
+        state("d-north").began(40_000)
+        val slow = table.usable("s", ReplicaStage.PREFILL).first { it.replica.id == "p-west" }
+        repeat(5) { slow.read(tokens = 5_000, elapsedMillis = 800) }
+        assertTrue((1..50).all { chooser.withRoom("s", 5_000, emptySet())?.replica?.id == "d-north" })
+        clock.advance(10_000)
+        assertEquals("d-west", chooser.withRoom("s", 5_000, emptySet())?.replica?.id, "the queue has ended")
+    }
+
+    /** Guards against what is known of a replica being kept for another process with its id. */
+    @Test
+    fun aReplicaThatStartedAnewIsNotTheOneBefore() {
+        val before = replica("d", "north", ReplicaStage.DECODE)
+        table.replace(listOf(before))
+        state("d").silent()
+        table.replace(listOf(before.copy(slots = 8)))
+        assertTrue(state("d").silent, "the same process with another description")
+        table.replace(listOf(before.copy(startedAt = 5)))
+        assertTrue(!state("d").silent, "a new process")
+    }
+
+    private companion object {
+        const val MEMORY = 50_000
+    }
+}
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Forwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Forwarder.kt
@@ -122,7 +122,7 @@
         /** A VM that starts has the configuration within about this time. */
         const val NO_CONFIG_MILLIS = 500L
 
-        /** A request may wait for tokens for its objective divided by this; longer waits are refusals that come late. */
+        /** A request waits for tokens for its objective divided by this; a refusal should not come later. */
         const val QUOTA_WAIT_PARTS = 8
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlaceStep.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlaceStep.kt
@@ -37,7 +37,10 @@
         return when (val answer = calls.reserve(state, tokens + state.growth)) {
             is Reservation.Granted -> DecodePlace(state, answer.id)
             Reservation.Unsupported -> DecodePlace(state, reservation = null)
-            Reservation.Full -> null.also { state.full() }
+            Reservation.Full -> {
+                state.full = true
+                null
+            }
             is Reservation.NoAnswer -> {
                 attempt.trail += "place $id ${answer.reason}"
                 state.silent()
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
@@ -75,7 +75,7 @@
             attempt.didNotRun()
             // Another process at the address did not get the request as its replica.
             if (result.facts.otherReplica) tries.unreachable++ else tries.sends++
-            if (result.facts.otherReplica) state.silent() else state.full()
+            if (result.facts.otherReplica) state.silent() else state.full = true
             tries.last = Outcome.Failure(ResultCode.CAPACITY_EXHAUSTED, retryAfterMillis = FULL_MILLIS)
             return null
         }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillStep.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillStep.kt
@@ -37,11 +37,12 @@
         val result = sender.whole(state, attempt.request, call, patience, tokens)
         val cache = (result as? SendResult.Answered)?.takeIf { it.status == OK }
             ?.let { sender.cache(state.replica.address, it.body) }
-        attempt.trail += "prefill ${state.replica.id} ${if (cache == null) describe(result) else "ok"} ${nowMillis() - began} ms"
+        val outcome = if (cache == null) describe(result) else "ok"
+        attempt.trail += "prefill ${state.replica.id} $outcome ${nowMillis() - began} ms"
         if (cache != null || result is SendResult.Lost) state.read(tokens, nowMillis() - began)
         when {
             cache != null -> state.answered(good = true)
-            result is SendResult.Answered && result.facts.notRun && !result.facts.otherReplica -> state.full()
+            result is SendResult.Answered && result.facts.notRun && !result.facts.otherReplica -> state.full = true
             else -> state.silent()
         }
         return cache
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -160,7 +160,7 @@
         tries.sends++
         // The cache may have lapsed, which the answer does not tell apart from a full replica: try without it first.
         if (withCache) return Decoded.CacheLost
-        state.full()
+        state.full = true
         return Decoded.Kept
     }
 
@@ -197,7 +197,7 @@
         const val FULL_MILLIS = 2_250L
 
         /** Part of the objective that a request waits for a place; callers should rather come back after a burst. */
-        const val PLACE_PERCENT = 12
+        const val PLACE_PERCENT = 80
         const val PERCENT = 100
 
         /** Spreads the callers that come back. */
