--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
@@ -21,6 +21,11 @@
     @Synchronized
     fun tokens(): Map<String, Long> = states.mapValues { it.value.tokens }.filterValues { it > 0 }
 
+    /** Tokens that this VM holds at each decode replica; changes only when a request begins or ends. */
+    @Synchronized
+    fun heldTokens(): Map<String, Long> =
+        states.filterValues { it.replica.stage == ReplicaStage.DECODE && it.tokens > 0 }.mapValues { it.value.tokens }
+
     /** Takes over the [sums] of tokens that other VMs have at each replica. */
     @Synchronized
     fun othersHave(sums: Map<String, Long>) = states.forEach { (id, state) -> state.othersHave(sums[id] ?: 0) }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -18,6 +18,7 @@
 import fireflyhinge.gateway.fleet.Feed
 import fireflyhinge.gateway.fleet.FleetNews
 import fireflyhinge.gateway.fleet.Gossip
+import fireflyhinge.gateway.fleet.LoadNews
 import fireflyhinge.gateway.fleet.PeerClient
 import fireflyhinge.gateway.fleet.QuotaLoans
 import fireflyhinge.gateway.forward.ForwardSteps
@@ -53,7 +54,8 @@
     private val replicaFeed = Feed(FeedKind.REPLICAS, store, ::list)
     private val feeds = listOf(configFeed, replicaFeed)
     private val peers = PeerClient(ConnectionPool(io))
-    private val gossip = Gossip(domains, peers, feeds, { this.settings.seeds }, FleetNews(fleet, table, ::ready))
+    private val news = FleetNews(fleet, table, ::ready)
+    private val gossip = Gossip(domains, peers, feeds, { this.settings.seeds }, news)
     private val shares = QuotaShares(settings.quota, ::sharing, settings.firstStart)
     private val repeats = RepeatShares(settings.repeats, ::sharing)
     private val pools = ReplicaPools(table, ReplicaChooser(table, domains, ::memoryOf), repeats)
@@ -97,6 +99,7 @@
         io.scope.launch { findFleet() }
         feeds.forEach { feed -> io.scope.launch { feed.run() } }
         io.scope.launch { gossip.run() }
+        io.scope.launch { LoadNews(io.scope, news, domains, peers, table).run() }
         log.atInfo().addKeyValue("vm", settings.vm).addKeyValue("front", settings.front).log("started")
     }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/ControlHandler.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/ControlHandler.kt
@@ -36,6 +36,7 @@
         when {
             request.uri == Gossip.EXCHANGE_PATH ->
                 PeerMessages.encode(gossip.received(PeerMessages.exchange(request.body)))
+            request.uri == LoadNews.PATH -> EMPTY.also { gossip.received(PeerMessages.exchange(request.body)) }
             request.uri == QuotaLoans.PATH -> lend(request.body)
             request.uri.startsWith(Gossip.FEED_PATH) ->
                 feeds.find { it.kind.name == request.uri.removePrefix(Gossip.FEED_PATH) }?.let {
@@ -51,6 +52,7 @@
     }
 
     private companion object {
+        val EMPTY = ByteArray(0)
         const val OK = 200
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
