Plan nine tenths of a replica's memory; a time-out is told as one

Cause of the first: answers are often longer than callers expect, so engines still interrupted requests and read their prompts anew. Cause of the second: PlainCallTest saw 502 once where the route's time was over (silence): the patience with a replica and the request's time end in the same millisecond.

--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaChooser.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaChooser.kt
@@ -35,11 +35,11 @@
     fun withRoom(service: String, tokens: Int, avoid: Set<String>): ReplicaState? {
         val all = table.usable(service, ReplicaStage.DECODE).filter { it.replica.id !in avoid }
         val sound = all.filterNot { it.silent }.ifEmpty { all }.filterNot { it.full }
-        val memory = capacity(service)
-        // A request that is larger than what is left of any empty replica is tried as well.
+        val memory = (capacity(service) * USED_MEMORY).toInt()
+        // A request that is larger than what any replica has is tried at an empty one.
         val roomy = sound.filter { it.room(memory) >= tokens || it.room(memory) >= memory }
         return roomy.minByOrNull {
-            it.cost(memory) + distanceCost(it, near = null) + prefillCost(service, it) + random.nextDouble() * JITTER
+            load(service, it) + distanceCost(it, near = null) + prefillCost(service, it) + random.nextDouble() * JITTER
         }
     }
 
@@ -66,6 +66,9 @@
     }
 
     private companion object {
+        /** Part of a replica's memory that is planned; answers are often longer than their callers expect. */
+        const val USED_MEMORY = 0.9
+
         /**
          * Load, in shares of a replica's capacity, at which a replica of the next distance becomes better. Failure
          * domains are a millisecond apart and cost little; regions are 30 ms apart over a narrow link, but a request
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
@@ -83,7 +83,6 @@
         }
 
     /** Tokens by which the requests known to be at the replica are expected to grow. */
-    val growth: Int @Synchronized get() = ((ownTokens + otherTokens) * GROWTH_PART).toInt()
 
     /** Tokens that fit into the replica's memory of [capacity] tokens besides those known to be there. */
     @Synchronized
@@ -114,9 +113,6 @@
     }
 
     private companion object {
-        /** Requests are on the average half through their answers, which are some two fifths of their memory. */
-        const val GROWTH_PART = 0.0
-
         /** Own requests also count by number, since replicas with many places slow down with each of them. */
         const val OWN_REQUESTS_SCALE = 16.0
 
--- a/core/src/test/kotlin/fireflyhinge/forward/ReplicaChooserTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/ReplicaChooserTest.kt
@@ -40,11 +40,11 @@
     fun aPlaceNeedsRoomBesideTheTokensOfAllVms() {
         table.replace(listOf(replica("d", "north", ReplicaStage.DECODE)))
         state("d").began(20_000)
-        table.othersHave(mapOf("d" to 25_000))
-        assertEquals("d", chooser.withRoom("s", 5_000, emptySet())?.replica?.id)
-        assertNull(chooser.withRoom("s", 5_001, emptySet()))
+        table.othersHave(mapOf("d" to 20_000))
+        assertEquals("d", chooser.withRoom("s", FREE, emptySet())?.replica?.id)
+        assertNull(chooser.withRoom("s", FREE + 1, emptySet()))
         state("d").ended(20_000)
-        assertEquals("d", chooser.withRoom("s", 25_000, emptySet())?.replica?.id)
+        assertEquals("d", chooser.withRoom("s", FREE + 20_000, emptySet())?.replica?.id)
     }
 
     /**
@@ -83,5 +83,8 @@
 
     private companion object {
         const val MEMORY = 50_000
+
+        /** Nine tenths of the memory less the 40,000 tokens that are there. */
+        const val FREE = 5_000
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlaceStep.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlaceStep.kt
@@ -33,8 +33,7 @@
         tried: MutableSet<String>,
     ): DecodePlace? {
         val id = state.replica.id
-        // The replica knows what is in its memory now, but not what the requests there will need yet.
-        return when (val answer = calls.reserve(state, tokens + state.growth)) {
+        return when (val answer = calls.reserve(state, tokens)) {
             is Reservation.Granted -> DecodePlace(state, answer.id)
             Reservation.Unsupported -> DecodePlace(state, reservation = null)
             Reservation.Full -> {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Refusals.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Refusals.kt
@@ -6,15 +6,14 @@
 
 /** Makes failures say the truth about whether the request ran. */
 internal object Refusals {
-    /** [failure] as it may be told to the caller of [attempt]. */
-    fun truthful(failure: Outcome.Failure, attempt: Attempt): Outcome.Failure {
-        val claimsNotRun = failure.code.run == Run.NOT_RUN
-        return if (claimsNotRun && attempt.mayHaveRun) {
-            Outcome.Failure(ResultCode.ATTEMPTS_FAILED, failure.detail)
-        } else {
-            failure
+    /** [failure] as it may be told to the caller of [attempt]; a request whose time is over failed because of that. */
+    fun truthful(failure: Outcome.Failure, attempt: Attempt): Outcome.Failure =
+        when {
+            attempt.remaining <= 0 -> late(attempt)
+            failure.code.run == Run.NOT_RUN && attempt.mayHaveRun ->
+                Outcome.Failure(ResultCode.ATTEMPTS_FAILED, failure.detail)
+            else -> failure
         }
-    }
 
     /** The failure of an [attempt] whose time is over. */
     fun late(attempt: Attempt): Outcome.Failure =
--- /dev/null
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/forward/RefusalsTest.kt
@@ -0,0 +1,46 @@
+package fireflyhinge.gateway.forward
+
+import fireflyhinge.forward.Admission
+import fireflyhinge.forward.CallKind
+import fireflyhinge.forward.ForwardRoute
+import fireflyhinge.forward.RequestFacts
+import fireflyhinge.forward.RouteTarget
+import fireflyhinge.gateway.http.CallerRequest
+import fireflyhinge.gateway.http.nowMillis
+import fireflyhinge.result.Outcome
+import fireflyhinge.result.ResultCode
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+class RefusalsTest {
+    private val facts = RequestFacts("id", null, null, null, null, null, null)
+    private val request = CallerRequest("POST", "/x", DefaultHttpHeaders(), ByteArray(0), nowMillis())
+
+    private fun attempt(left: Long, sent: Boolean): Attempt {
+        val target = listOf(RouteTarget("s"))
+        val route = ForwardRoute("r", "h", "/", CallKind.NON_IDEMPOTENT, target, timeoutMillis = 500, objectiveMillis = 300)
+        val admission = Admission(route, workspace = null, configVersion = 1)
+        return Attempt(request, facts, admission, "s", nowMillis() + left).apply { if (sent) sending() }
+    }
+
+    private class Case(val what: String, val left: Long, val sent: Boolean, val failure: ResultCode, val told: ResultCode)
+
+    /**
+     * Guards against a refusal that says "not run" after the request was sent, and against another code than the
+     * time-out's when a replica's patience and the request's time end in the same millisecond.
+     */
+    @Test
+    fun failuresTellTheTruth() {
+        listOf(
+            Case("not sent", 9_000, false, ResultCode.CAPACITY_EXHAUSTED, ResultCode.CAPACITY_EXHAUSTED),
+            Case("sent, then full", 9_000, true, ResultCode.CAPACITY_EXHAUSTED, ResultCode.ATTEMPTS_FAILED),
+            Case("sent and lost", 9_000, true, ResultCode.ATTEMPTS_FAILED, ResultCode.ATTEMPTS_FAILED),
+            Case("lost at the end", 0, true, ResultCode.ATTEMPTS_FAILED, ResultCode.UPSTREAM_TIMEOUT),
+            Case("not sent until the end", 0, false, ResultCode.NO_UPSTREAM, ResultCode.CAPACITY_EXHAUSTED),
+        ).forEach { case ->
+            val told = Refusals.truthful(Outcome.Failure(case.failure), attempt(case.left, case.sent))
+            assertEquals(case.told, told.code, case.what)
+        }
+    }
+}
