Resume broken streams later in their life, and spare prefill replicas that are behind

Ruled out: the retry budget of the platform, which had room. Change: a stream that has begun may wait 1.2 s for a place; places beside a prefill replica with a wait of two thirds of the objective are not used; silent replicas are left out for a second first and answer reservations within 120 ms; shares accrue from the start of the process.

--- a/core/src/main/kotlin/fireflyhinge/forward/QuotaShares.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/QuotaShares.kt
@@ -20,6 +20,9 @@
 ) {
     private val shares = HashMap<String, QuotaShare>()
 
+    // The predecessor of this process used nothing since then, so tokens accrue from the start on.
+    private val startedAt = clock.millis()
+
     /** Takes [tokens] of [workspace], or returns false if this VM's share does not hold them. */
     @Synchronized
     fun take(workspace: ForwardWorkspace, tokens: Double): Boolean =
@@ -60,7 +63,7 @@
         val now = clock.millis()
         val share =
             shares.getOrPut(workspace.name) {
-                QuotaShare(rate, depth, if (fresh) depth else depth * RESTART_PART, now)
+                QuotaShare(rate, depth, if (fresh) depth else depth * RESTART_PART, startedAt)
             }
         share.advance(now)
         share.rate = rate
@@ -81,7 +84,7 @@
         const val EXCESS_PART = 0.8
 
         /** Part of its depth that a restarted VM begins with. */
-        const val RESTART_PART = 0.1
+        const val RESTART_PART = 0.2
 
         const val SHORTEST_WAIT_MILLIS = 100L
         const val LONGEST_WAIT_MILLIS = 3_000L
--- a/core/src/main/kotlin/fireflyhinge/forward/RepeatShares.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/RepeatShares.kt
@@ -28,6 +28,6 @@
 
     private companion object {
         /** Part of the bounds that is used; the rest covers VMs that restart with a full share. */
-        const val USED_PART = 0.8
+        const val USED_PART = 0.9
     }
 }
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaChooser.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaChooser.kt
@@ -38,17 +38,22 @@
         val memory = (capacity(service) * USED_MEMORY).toInt()
         // A request that is larger than what any replica has is tried at an empty one.
         val roomy = sound.filter { it.room(memory) >= tokens || it.room(memory) >= memory }
-        return roomy.minByOrNull {
-            load(service, it) + distanceCost(it, near = null) + prefillCost(service, it) + random.nextDouble() * JITTER
-        }
+        return roomy
+            .map { it to prefillCost(service, it) }
+            .filterNot { (_, prefill) -> prefill >= TOO_SLOW && prefill < OWN_PREFILL_COST }
+            .minByOrNull { (state, prefill) -> prefill + costFrom(service, state) }
+            ?.first
     }
 
+    private fun costFrom(service: String, state: ReplicaState): Double =
+        load(service, state) + distanceCost(state, near = null) + random.nextDouble() * JITTER
+
     /** Cost of reading a prompt for [decode]: KV cache comes from its own region only. */
     private fun prefillCost(service: String, decode: ReplicaState): Double {
         val near = decode.replica.failureDomain
         val prefill = choose(service, ReplicaStage.PREFILL, near = near) ?: return OWN_PREFILL_COST
         if (prefill.silent) return OWN_PREFILL_COST
-        return minOf(OWN_PREFILL_COST, prefill.cost(capacity(service)) * PREFILL_WEIGHT)
+        return minOf(MOST_PREFILL_COST, prefill.cost(capacity(service)) * PREFILL_WEIGHT)
     }
 
     /** Load of [state] by what this VM knows; 1 is a replica that is full. */
@@ -82,6 +87,15 @@
          */
         const val OWN_PREFILL_COST = 2.0
 
+        /** The highest cost of a prefill replica that answers; lower than that of having none. */
+        const val MOST_PREFILL_COST = 1.9
+
+        /**
+         * Cost of a wait of two thirds of the objective. A prompt is not sent to such a prefill replica: it would be
+         * late, and so would those behind it.
+         */
+        const val TOO_SLOW = 1.33
+
         /** A prompt that waits for half of the objective weighs as much as a decode replica that is full. */
         const val PREFILL_WEIGHT = 2.0
 
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaHealth.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaHealth.kt
@@ -36,8 +36,8 @@
 
         /** A replica that fails always costs as much as two that are full. */
         const val FAILURE_COST = 2.0
-        const val FIRST_PAUSE_MILLIS = 500L
-        const val MAX_DOUBLINGS = 4
+        const val FIRST_PAUSE_MILLIS = 1_000L
+        const val MAX_DOUBLINGS = 2
         const val LONGEST_PAUSE_MILLIS = 4_000L
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaCalls.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaCalls.kt
@@ -91,7 +91,7 @@
         /** Longest time that replicas keep a place; a prompt is read within it. */
         const val RESERVATION_MILLIS = 2_000L
 
-        /** A round trip between regions takes 60 ms; replicas answer at once. */
-        const val RESERVE_PATIENCE_MILLIS = 200L
+        /** Twice the round trip between regions; replicas answer at once. */
+        const val RESERVE_PATIENCE_MILLIS = 120L
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -4,6 +4,7 @@
 import fireflyhinge.forward.PrefilledCache
 import fireflyhinge.forward.ReplicaState
 import fireflyhinge.gateway.http.AnswerWriter
+import fireflyhinge.gateway.http.nowMillis
 import fireflyhinge.result.Outcome
 import fireflyhinge.result.ResultCode
 import kotlin.random.Random
@@ -33,9 +34,14 @@
         val route = attempt.admission.route
         val placeUntil = attempt.request.arrivedMillis + route.objectiveMillis * PLACE_PERCENT / PERCENT
         while (mayTry(attempt, tries)) {
-            if (tries.sends > 0 && !pools.repeats.take(attempt.service)) break
-            val place = places.find(attempt, tries.avoid, placeUntil)
-            place ?: return unplaced(tries, answer)
+            if (tries.sends > 0 && !pools.repeats.take(attempt.service)) {
+                attempt.trail += "no repeat left"
+                return unplaced(tries, answer)
+            }
+            // The caller of a stream that broke off waits longer than one whose answer has not begun.
+            val until = if (answer.started) nowMillis() + RESUME_MILLIS else placeUntil
+            val place = places.find(attempt, tries.avoid, until)
+            place ?: return unplaced(tries, answer).also { attempt.trail += "no place" }
             tries.avoid += place.state.replica.id
             // A prompt is read apart only for the first try; later ones are few and use the decode replica alone.
             val result = readAndDecode(attempt, tries, place, answer)
@@ -196,6 +202,9 @@
         const val NO_REPLICA_MILLIS = 500L
         const val FULL_MILLIS = 2_250L
 
+        /** Callers leave after two seconds without an event; reading the prompt anew takes some 0.3 s. */
+        const val RESUME_MILLIS = 1_200L
+
         /** Part of the objective that a request waits for a place; callers should rather come back after a burst. */
         const val PLACE_PERCENT = 80
         const val PERCENT = 100
