--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaChooser.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaChooser.kt
@@ -31,11 +31,14 @@
         return best(service, sound.filterNot { it.full }.ifEmpty { sound }.ifEmpty { reachable }, near)
     }
 
-    /** The best decode replica of [service], not in [avoid], with room for [tokens]; null if none has. */
-    fun withRoom(service: String, tokens: Int, avoid: Set<String>): ReplicaState? {
+    /**
+     * The best decode replica of [service], not in [avoid], with room for [tokens]; null if none has. Answers that have
+     * begun and go on elsewhere ([resumed]) may use memory that is kept free of new ones.
+     */
+    fun withRoom(service: String, tokens: Int, avoid: Set<String>, resumed: Boolean = false): ReplicaState? {
         val all = table.usable(service, ReplicaStage.DECODE).filter { it.replica.id !in avoid }
         val sound = all.filterNot { it.silent }.ifEmpty { all }.filterNot { it.full }
-        val memory = (capacity(service) * USED_MEMORY).toInt()
+        val memory = (capacity(service) * if (resumed) 1.0 else USED_MEMORY).toInt()
         // A request that is larger than what any replica has is tried at an empty one.
         val roomy = sound.filter { it.room(memory) >= tokens || it.room(memory) >= memory }
         return roomy
--- a/core/src/test/kotlin/fireflyhinge/forward/ReplicaChooserTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/ReplicaChooserTest.kt
@@ -43,6 +43,8 @@
         table.othersHave(mapOf("d" to 20_000))
         assertEquals("d", chooser.withRoom("s", FREE, emptySet())?.replica?.id)
         assertNull(chooser.withRoom("s", FREE + 1, emptySet()))
+        val resumed = chooser.withRoom("s", FREE + 1, emptySet(), resumed = true)
+        assertEquals("d", resumed?.replica?.id, "an answer that has begun")
         state("d").ended(20_000)
         assertEquals("d", chooser.withRoom("s", FREE + 20_000, emptySet())?.replica?.id)
     }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlaceStep.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlaceStep.kt
@@ -11,12 +11,13 @@
 internal class PlaceStep(private val pools: ReplicaPools, private val calls: ReplicaCalls) {
     /**
      * A place at a replica that is not in [avoid]; waits until [untilMillis] if all are full. Null if none was found.
+     * [resumed] says that the answer has begun.
      */
-    suspend fun find(attempt: Attempt, avoid: Set<String>, untilMillis: Long): DecodePlace? {
+    suspend fun find(attempt: Attempt, avoid: Set<String>, untilMillis: Long, resumed: Boolean): DecodePlace? {
         val tokens = attempt.facts.expectedMemory
         val tried = HashSet(avoid)
         while (true) {
-            val state = pools.chooser.withRoom(attempt.service, tokens, tried)
+            val state = pools.chooser.withRoom(attempt.service, tokens, tried, resumed)
             val place = state?.let { ask(attempt, it, tokens, tried) }
             if (place != null) return place
             if (state == null) {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -40,7 +40,7 @@
             }
             // The caller of a stream that broke off waits longer than one whose answer has not begun.
             val until = if (answer.started) nowMillis() + RESUME_MILLIS else placeUntil
-            val place = places.find(attempt, tries.avoid, until)
+            val place = places.find(attempt, tries.avoid, until, resumed = answer.started)
             place ?: return unplaced(tries, answer).also { attempt.trail += "no place" }
             tries.avoid += place.state.replica.id
             // A prompt is read apart only for the first try; later ones are few and use the decode replica alone.
