--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -181,8 +181,8 @@
         /** Callers that hold an older answer come in this time; later ones are refused and use another address. */
         const val ANNOUNCED_MILLIS = 2_500L
 
-        /** Time to end the process before it is killed. */
-        const val STOP_MARGIN_MILLIS = 700L
+        /** Time for the process to end before it is killed; a VM with a part of a core needs more than half of it. */
+        const val STOP_MARGIN_MILLIS = 1_200L
         const val POLL_MILLIS = 20L
         const val REGISTER_PAUSE_MILLIS = 1_000L
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
@@ -2,7 +2,9 @@
 
 import fireflyhinge.forward.FailureDomains
 import fireflyhinge.gateway.http.ConnectFailed
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 import java.io.IOException
 import kotlin.random.Random
@@ -40,10 +42,10 @@
         partner()?.let { exchange(it) }
     }
 
-    /** Tells the state of this VM to all others at once; used when it begins or stops to take requests. */
+    /** Tells the state of this VM to others at once; used when it stops to take requests. */
     suspend fun announce() {
         news.beat()
-        fleet.live().take(MOST_TOLD).forEach { exchange(it.control) }
+        coroutineScope { fleet.live().take(MOST_TOLD).forEach { launch { exchange(it.control) } } }
     }
 
     /** Mostly VMs of the own region: the link between regions is narrow. Seeds are asked while nobody is known. */
