Begin restarted shares with more of a smaller depth

Ruled out: half of the depth (QuotaSharesTest: 432,507 of 407,000 allowed tokens in 8 s when all VMs restart every 3 s). Change: buckets hold 0.6 of the tolerated excess and restart with 0.3 of their depth.

--- a/core/src/main/kotlin/fireflyhinge/forward/QuotaShares.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/QuotaShares.kt
@@ -80,11 +80,11 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1000.0
 
-        /** Part of the tolerated excess that buckets hold. */
-        const val EXCESS_PART = 0.8
+        /** Part of the tolerated excess that buckets hold. What is left covers VMs that restart within a window. */
+        const val EXCESS_PART = 0.6
 
         /** Part of its depth that a restarted VM begins with. */
-        const val RESTART_PART = 0.2
+        const val RESTART_PART = 0.3
 
         const val SHORTEST_WAIT_MILLIS = 100L
         const val LONGEST_WAIT_MILLIS = 3_000L
