Let eight VMs hold each limit, and make the system's own calls in one place

Cause of the first: with 62 to 83 VMs an equal share of a small workspace's limit is less than one request, and loans from six of them too. Change: the eight VMs of a rendezvous hash hold a limit; all others borrow from them. Up to eight VMs share as before. Cause of the second: calls to the store, to other VMs and to replicas read answers in three copies of the same code. HttpCalls replaces them; no change of behaviour intended, except that the system's own calls to replicas state a Host.

--- a/core/src/main/kotlin/fireflyhinge/forward/FleetView.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/FleetView.kt
@@ -60,21 +60,33 @@
     }
 
     /**
-     * VMs that share limits: all that were heard of within [SHARING_MILLIS], this one included. If most are silent
-     * this VM is probably cut off, and the others still use their shares; then all count.
+     * Names of the VMs that share limits: all that were heard of within [SHARING_MILLIS], this one included. If most
+     * are silent this VM is probably cut off, and the others still use their shares; then all count.
      */
     @Synchronized
-    fun sharing(): Int {
+    fun sharing(): List<String> {
         val now = clock.millis()
-        val heard = known.values.count { now - it.heardAt < SHARING_MILLIS }
-        return 1 + if (heard * 2 >= known.size) heard else known.size
+        val heard = known.filterValues { now - it.heardAt < SHARING_MILLIS }.keys
+        return listOf(own.name) + if (heard.size * 2 >= known.size) heard else known.keys
     }
 
+    /**
+     * Names of the VMs that hold shares of the limit [name]: [MOST_HOLDERS] of those that share limits, the same on
+     * each VM that knows the same others (rendezvous hash). More shares would be smaller than one request.
+     */
+    fun holders(name: String): List<String> = sharing().sortedBy { "$name/$it".hashCode() * SPREAD }.take(MOST_HOLDERS)
+
     private companion object {
         /** A beat is passed on within about two exchanges of half a second each; twice that is silence. */
         const val FRESH_MILLIS = 2_500L
 
         /** Longer than a restart or an ordinary partition, so that shares do not change with these. */
         const val SHARING_MILLIS = 20_000L
+
+        /** Shares of an eighth hold some requests of the smallest workspace today. */
+        const val MOST_HOLDERS = 8
+
+        /** Spreads hash codes of similar names (Fibonacci hashing). */
+        const val SPREAD = -1_640_531_527
     }
 }
--- a/core/src/main/kotlin/fireflyhinge/forward/QuotaShares.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/QuotaShares.kt
@@ -4,17 +4,17 @@
 import fireflyhinge.time.millis
 
 /**
- * This VM's shares of the limits of all workspaces. Each VM holds an equal part of every limit and may lend tokens to
- * another one, so the sum over all VMs stays within the limit whatever fails between them: a lost loan is lost, never
+ * This VM's shares of the limits of all workspaces. The VMs that hold a limit have equal parts of it and lend tokens to
+ * all others, so the sum over all VMs stays within the limit whatever fails between them: a lost loan is lost, never
  * doubled. Thread-safe.
  *
- * @param vms number of VMs that share the limits.
+ * @param part this VM's part of the limit of a workspace, from 0 to 1.
  * @param fresh whether the fleet starts for the first time; a VM that restarts begins with a small part of its depth,
  * since its predecessor may have used the rest within the same window.
  */
 class QuotaShares(
     private val bounds: QuotaBounds,
-    private val vms: () -> Int,
+    private val part: (String) -> Double,
     private val fresh: Boolean,
     private val clock: MonotonicClock = MonotonicClock.SYSTEM,
 ) {
@@ -57,9 +57,9 @@
     }
 
     private fun share(workspace: ForwardWorkspace): QuotaShare {
-        val count = maxOf(1, vms())
-        val rate = workspace.limit.ratePerSecond / count
-        val depth = depth(workspace.limit) / count
+        val held = part(workspace.name)
+        val rate = workspace.limit.ratePerSecond * held
+        val depth = depth(workspace.limit) * held
         val now = clock.millis()
         val share =
             shares.getOrPut(workspace.name) {
--- a/core/src/test/kotlin/fireflyhinge/forward/FleetViewTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/FleetViewTest.kt
@@ -35,11 +35,31 @@
     @Test
     fun limitsAreSharedWithSilentVmsWhileMostAreSilent() {
         fleet.merge((1..7).map { vm("v$it", "north") })
-        assertEquals(8, fleet.sharing())
+        assertEquals(8, fleet.sharing().size)
         clock.advance(21_000)
-        assertEquals(8, fleet.sharing(), "cut off")
+        assertEquals(8, fleet.sharing().size, "cut off")
         fleet.merge((1..5).map { vm("v$it", "north", beat = 2) })
-        assertEquals(6, fleet.sharing(), "two are gone for good")
+        assertEquals(6, fleet.sharing().size, "two are gone for good")
+    }
+
+    /**
+     * Load: a workspace whose rate is a few requests a second, on 80 VMs. Guards against shares that hold less than one
+     * request, and against VMs that disagree on who holds a limit.
+     */
+    @Test
+    fun fewVmsHoldALimitAndAllAgreeWhich() {
+        val names = (1..80).map { "v$it" }
+        val held =
+            names.map { own ->
+                val view = FleetView(vm(own, "north"), clock)
+                view.merge(names.filter { it != own }.map { vm(it, "north") })
+                listOf("w1", "w2").map { view.holders(it).toSet() }
+            }
+        assertEquals(1, held.toSet().size)
+        assertEquals(listOf(8, 8), held.first().map { it.size })
+        assertEquals(true, held.first().toSet().size == 2, "two workspaces have other holders")
+        fleet.merge((1..6).map { vm("v$it", "north") })
+        assertEquals(7, fleet.holders("w1").size, "a small fleet shares among all")
     }
 
     /** Guards against load that is counted twice or kept after its VM has gone. */
--- a/core/src/test/kotlin/fireflyhinge/forward/QuotaSharesTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/QuotaSharesTest.kt
@@ -38,12 +38,12 @@
     /** Sends three times the limit to eight VMs for 30 s; returns times and tokens of what was granted. */
     private fun play(case: Case): List<Pair<Long, Double>> {
         val random = Random(1)
-        var vms = List(VMS) { QuotaShares(bounds, { VMS }, fresh = true, clock) }
+        var vms = List(VMS) { QuotaShares(bounds, { 1.0 / VMS }, fresh = true, clock) }
         val granted = ArrayList<Pair<Long, Double>>()
         repeat(3_000) { step ->
             clock.advance(10)
             if (step % case.restartEvery == case.restartEvery - 1) {
-                vms = List(VMS) { QuotaShares(bounds, { VMS }, fresh = false, clock) }
+                vms = List(VMS) { QuotaShares(bounds, { 1.0 / VMS }, fresh = false, clock) }
             }
             if (random.nextInt(6) != 0) return@repeat
             val own = vms.random(random)
@@ -59,7 +59,7 @@
     /** Guards against tokens that vanish when they are given back or lent to a VM whose bucket is full. */
     @Test
     fun tokensThatAreGivenBackAreNotLostAtTheDepth() {
-        val shares = QuotaShares(bounds, { 1 }, fresh = true, clock)
+        val shares = QuotaShares(bounds, { 1.0 }, fresh = true, clock)
         val full = generateSequence(1_000.0) { it + 1_000 }.takeWhile { shares.missing(workspace, it) == 0.0 }.last()
         shares.add(workspace, 5_000.0)
         assertEquals(0.0, shares.missing(workspace, full + 5_000))
@@ -71,7 +71,7 @@
     @Test
     fun aWorkspaceWithoutARateIsNotLimited() {
         val free = workspace.copy(limit = WorkspaceLimit(0.0, 0.0))
-        val shares = QuotaShares(bounds, { 8 }, fresh = false, clock)
+        val shares = QuotaShares(bounds, { 1.0 / VMS }, fresh = false, clock)
         assertTrue((1..100).all { shares.take(free, 1e9) })
     }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -31,6 +31,7 @@
 import fireflyhinge.gateway.forward.RequestJournal
 import fireflyhinge.gateway.forward.StreamForwarder
 import fireflyhinge.gateway.http.ConnectionPool
+import fireflyhinge.gateway.http.HttpCalls
 import fireflyhinge.gateway.http.HttpListener
 import fireflyhinge.gateway.http.Io
 import fireflyhinge.gateway.http.StoreHttp
@@ -49,14 +50,14 @@
     private val domains = FailureDomains(settings.failureDomain, settings.regions)
     private val fleet = FleetView(record(settings))
     private val table = ReplicaTable()
-    private val store = dialects.store(StoreHttp(ConnectionPool(io), settings.store))
+    private val store = dialects.store(StoreHttp(HttpCalls(ConnectionPool(io)), settings.store))
     private val configFeed = Feed(FeedKind.CONFIGURATION, store, ::configure)
     private val replicaFeed = Feed(FeedKind.REPLICAS, store, ::list)
     private val feeds = listOf(configFeed, replicaFeed)
-    private val peers = PeerClient(ConnectionPool(io))
+    private val peers = PeerClient(HttpCalls(ConnectionPool(io)))
     private val news = FleetNews(fleet, table, ::ready)
     private val gossip = Gossip(domains, peers, feeds, { this.settings.seeds }, news)
-    private val shares = QuotaShares(settings.quota, ::sharing, settings.firstStart)
+    private val shares = QuotaShares(settings.quota, ::part, settings.firstStart)
     private val repeats = RepeatShares(settings.repeats, ::sharing)
     private val pools = ReplicaPools(table, ReplicaChooser(table, domains, ::memoryOf), repeats)
     private val replicaPool = ConnectionPool(io)
@@ -81,7 +82,7 @@
             ForwardSteps(
                 quota = QuotaGate(shares, QuotaLoans(fleet, domains, peers)),
                 plain = PlainForwarder(pools, sender),
-                streams = StreamForwarder(pools, sender, ReplicaCalls(io, replicaPool, dialects.places)),
+                streams = StreamForwarder(pools, sender, ReplicaCalls(io, HttpCalls(replicaPool), dialects.places)),
             ),
             journal = RequestJournal(registry),
         )
@@ -144,12 +145,20 @@
 
     private fun ready(): Boolean = !front.draining && config != null && replicaFeed.revision > 0
 
-    /** Until the other VMs are known, limits are shared with as many as the fleet may have. */
-    private fun sharing(): Int {
-        val known = fleetListed || gossip.answered > 0 || nowMillis() - startedAt > UNKNOWN_MILLIS
-        return if (known) fleet.sharing() else maxOf(fleet.sharing(), UNKNOWN_VMS)
+    /** This VM's part of the limit of [workspace]; a small one until the other VMs are known. */
+    private fun part(workspace: String): Double {
+        val holders = fleet.holders(workspace)
+        return when {
+            !fleetKnown() -> 1.0 / UNKNOWN_VMS
+            fleet.self.name in holders -> 1.0 / holders.size
+            else -> 0.0
+        }
     }
 
+    private fun sharing(): Int = if (fleetKnown()) fleet.sharing().size else maxOf(fleet.sharing().size, UNKNOWN_VMS)
+
+    private fun fleetKnown() = fleetListed || gossip.answered > 0 || nowMillis() - startedAt > UNKNOWN_MILLIS
+
     private fun memoryOf(service: String): Int = config?.services?.get(service)?.memoryTokens ?: 0
 
     private fun configure(state: FeedState) {
@@ -186,7 +195,7 @@
         const val POLL_MILLIS = 20L
         const val REGISTER_PAUSE_MILLIS = 1_000L
 
-        /** VMs that share limits as long as none is known, at most for [UNKNOWN_MILLIS]. */
+        /** VMs that are assumed to share limits as long as none is known, at most for [UNKNOWN_MILLIS]. */
         const val UNKNOWN_VMS = 16
         const val UNKNOWN_MILLIS = 3_000L
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/QuotaLoans.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/QuotaLoans.kt
@@ -19,7 +19,9 @@
 
     /** Borrows parts of [tokens] from a few near VMs at a time, then the rest from others. */
     override suspend fun borrow(workspace: String, tokens: Double): Double {
-        val lenders = fleet.live().shuffled().sortedBy { domains.distance(it.failureDomain) }
+        val holders = fleet.holders(workspace).toSet()
+        val live = fleet.live().filter { it.name in holders }
+        val lenders = live.shuffled().sortedBy { domains.distance(it.failureDomain) }
         val near = ask(lenders.take(LENDERS_AT_A_TIME), workspace, tokens / 2)
         if (near >= tokens) return near
         return near + ask(lenders.drop(LENDERS_AT_A_TIME).take(LENDERS_AT_A_TIME), workspace, tokens - near)
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaCalls.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaCalls.kt
@@ -2,21 +2,18 @@
 
 import fireflyhinge.forward.PrefilledCache
 import fireflyhinge.forward.ReplicaState
-import fireflyhinge.gateway.http.ConnectionPool
+import fireflyhinge.gateway.http.HttpCalls
 import fireflyhinge.gateway.http.Io
-import fireflyhinge.gateway.http.OutboundRequests
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaders
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
-import java.io.ByteArrayOutputStream
 import java.io.IOException
 
 /** Calls to replicas that carry no request of a caller: places and KV caches are reserved and given up. */
 internal class ReplicaCalls(
     private val io: Io,
-    private val pool: ConnectionPool,
+    private val calls: HttpCalls,
     private val dialect: PlaceDialect,
 ) {
     /** Asks the replica to keep a place with memory for [tokens]. */
@@ -24,15 +21,19 @@
         val (path, body) = dialect.reserve(tokens, RESERVATION_MILLIS)
         val answer =
             try {
-                withTimeoutOrNull(RESERVE_PATIENCE_MILLIS) {
-                    own(state.replica.address, "POST", path, dialect.own(state.replica.id), body)
-                }
+                calls.call(
+                    address = state.replica.address,
+                    method = "POST",
+                    path = path,
+                    body = body,
+                    headers = dialect.own(state.replica.id),
+                    millis = RESERVE_PATIENCE_MILLIS,
+                )
             } catch (e: IOException) {
                 return Reservation.NoAnswer(e.message.orEmpty())
             }
-        return when (answer?.first) {
-            null -> Reservation.NoAnswer("silent for $RESERVE_PATIENCE_MILLIS ms")
-            OK -> dialect.reservation(answer.second)?.let { Reservation.Granted(it) } ?: Reservation.Unsupported
+        return when (answer.status) {
+            OK -> dialect.reservation(answer.body)?.let { Reservation.Granted(it) } ?: Reservation.Unsupported
             FULL -> Reservation.Full
             MISDIRECTED -> Reservation.NoAnswer("another replica has the address")
             else -> Reservation.Unsupported
@@ -50,34 +51,13 @@
     private fun forget(address: String, path: String, headers: HttpHeaders) {
         io.scope.launch {
             try {
-                withTimeoutOrNull(FORGET_MILLIS) { own(address, "DELETE", path, headers, ByteArray(0)) }
+                calls.call(address, "DELETE", path, headers = headers, millis = FORGET_MILLIS)
             } catch (e: IOException) {
                 log.debug("{} was not given up: {}", path, e.message)
             }
         }
     }
 
-    private suspend fun own(
-        address: String,
-        method: String,
-        path: String,
-        headers: HttpHeaders,
-        body: ByteArray,
-    ): Pair<Int, ByteArray> {
-        val connection = pool.acquire(address)
-        var whole = false
-        try {
-            connection.send(OutboundRequests.of(method, path, headers, body))
-            val head = connection.head()
-            val answer = ByteArrayOutputStream()
-            while (true) answer.writeBytes(connection.body() ?: break)
-            whole = true
-            return head.status().code() to answer.toByteArray()
-        } finally {
-            if (whole) pool.release(connection) else connection.close()
-        }
-    }
-
     private companion object {
         val log = LoggerFactory.getLogger(ReplicaCalls::class.java)
 
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpCalls.kt
@@ -0,0 +1,47 @@
+package fireflyhinge.gateway.http
+
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.ByteArrayOutputStream
+import java.io.IOException
+
+/** The system's own calls to servers: other VMs, the platform's store, and replicas. */
+internal class HttpCalls(private val pool: ConnectionPool) {
+    /**
+     * Makes a call to [address] and reads the whole answer. Throws [IOException] if it does not come within [millis]. A
+     * connection on which a call failed is not used again.
+     */
+    suspend fun call(
+        address: String,
+        method: String,
+        path: String,
+        body: ByteArray = ByteArray(0),
+        headers: HttpHeaders = DefaultHttpHeaders(),
+        millis: Long,
+    ): HttpReply {
+        var connection: OutboundConnection? = null
+        var whole = false
+        try {
+            val reply =
+                withTimeoutOrNull(millis) {
+                    val opened = pool.acquire(address).also { connection = it }
+                    headers.set(HttpHeaderNames.HOST, address)
+                    opened.send(OutboundRequests.of(method, path, headers, body))
+                    read(opened)
+                }
+            whole = reply != null
+            return reply ?: throw IOException("$address did not answer in $millis ms")
+        } finally {
+            connection?.let { if (whole) pool.release(it) else it.close() }
+        }
+    }
+
+    private suspend fun read(connection: OutboundConnection): HttpReply {
+        val head = connection.head()
+        val body = ByteArrayOutputStream()
+        while (true) body.writeBytes(connection.body() ?: break)
+        return HttpReply(head.status().code(), body.toByteArray())
+    }
+}
