End a silent run only when another replica has a place for the rest

A decode replica paused; after 0.9 s the run was closed and the request found no place elsewhere, so a sound run was cut off and the stream broke. Ruled out: a crash of the replica (its run ended as "cut", by this side) and the change of the configuration at 13.5 s. Change: silence makes the request look for a place; the run ends only when there is one. A plain request is given up for another try only while a repeat is left.

--- a/core/src/main/kotlin/fireflyhinge/forward/RepeatShares.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/RepeatShares.kt
@@ -22,6 +22,16 @@
         return true
     }
 
+    /** Whether a repeated send to [service] could be taken now. */
+    @Synchronized
+    fun available(service: String): Boolean = holding(service) >= 1
+
+    /** Gives back a repeated send that was taken and not used. */
+    @Synchronized
+    fun giveBack(service: String) {
+        left[service] = minOf(most(), holding(service) + 1)
+    }
+
     private fun holding(service: String): Double = left[service] ?: most()
 
     private fun most(): Double = maxOf(1.0, bounds.slack * USED_PART / maxOf(1, vms()))
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
@@ -6,30 +6,39 @@
 import fireflyhinge.gateway.http.AnswerWriter
 import fireflyhinge.gateway.http.ConnectFailed
 import fireflyhinge.gateway.http.OutboundConnection
+import fireflyhinge.gateway.http.nowMillis
 import io.netty.handler.codec.http.HttpResponse
-import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import java.io.IOException
 
 /**
  * One run of a model request at a decode replica. Used by one coroutine, once.
  *
- * @param patient whether the run is the last one, so that silence does not end it before the request's own end.
+ * @param moveOn called when the replica is silent; true if the request goes on elsewhere, and the run is to end. Null if
+ * this run is the last one. A sound replica may pause, so silence alone ends no run.
  */
 internal class DecodeSession(
     private val sender: ReplicaSender,
     private val attempt: Attempt,
     private val order: EventOrder,
     private val answer: AnswerWriter,
-    private val patient: Boolean,
+    private val moveOn: (suspend () -> Boolean)?,
 ) {
+    private var heardAt = nowMillis()
+    private var waiting = true
+    private var begun = false
+
     /** Sends the request to [state]'s replica and hands the events on. */
     suspend fun run(state: ReplicaState, call: ReplicaCall): DecodeOutcome =
         try {
             sender.use(state, attempt.facts.expectedMemory) { connection ->
-                // Silence before the first event may be a queue; afterwards the pauses of a sound run are short.
-                val wait = if (patient) attempt.remaining else FIRST_EVENT_MILLIS
-                val head = withTimeoutOrNull(wait) { sender.begin(connection, attempt.request, call) }
-                head?.let { read(state, connection, it) } ?: Reading.Partial(DecodeOutcome.Lost("silent for $wait ms"))
+                watched(connection) {
+                    val head = sender.begin(connection, attempt.request, call)
+                    begun = true
+                    read(state, connection, head)
+                }
             }
         } catch (e: ConnectFailed) {
             DecodeOutcome.NotSent(e.message.orEmpty())
@@ -37,6 +46,26 @@
             DecodeOutcome.Lost(e.message.orEmpty())
         }
 
+    private suspend fun <T> watched(connection: OutboundConnection, block: suspend () -> T): T =
+        coroutineScope {
+            val watch = moveOn?.let { launch { watch(connection, it) } }
+            try {
+                block()
+            } finally {
+                watch?.cancel()
+            }
+        }
+
+    private suspend fun watch(connection: OutboundConnection, moveOn: suspend () -> Boolean) {
+        var moved = false
+        while (!moved) {
+            delay(WATCH_MILLIS)
+            val silence = if (waiting) nowMillis() - heardAt else 0
+            moved = silence >= (if (begun) PAUSE_MILLIS else FIRST_EVENT_MILLIS) && moveOn()
+        }
+        connection.close()
+    }
+
     private suspend fun read(
         state: ReplicaState,
         connection: OutboundConnection,
@@ -52,9 +81,10 @@
     private suspend fun stream(connection: OutboundConnection, head: HttpResponse): Reading<DecodeOutcome> {
         val events = EventSplitter()
         while (true) {
-            val next = withTimeoutOrNull(if (patient) attempt.remaining else PAUSE_MILLIS) { Piece(connection.body()) }
-            val bytes = next?.let { it.bytes ?: return end(events) }
-            bytes ?: return Reading.Partial(DecodeOutcome.Lost("silent after event ${order.last}"))
+            waiting = true
+            val bytes = connection.body() ?: return end(events)
+            heardAt = nowMillis()
+            waiting = false
             events.add(bytes).filter(order::accept).forEach { event ->
                 // The answer keeps the head of the first replica.
                 if (!answer.started) answer.begin(OK, sender.toCaller(head.headers()))
@@ -70,11 +100,12 @@
         return Reading.Whole(DecodeOutcome.Whole)
     }
 
-    private class Piece(val bytes: ByteArray?)
-
     private companion object {
         const val OK = 200
 
+        /** How often silence is looked for; short against the limits below. */
+        const val WATCH_MILLIS = 100L
+
         /** Two thirds of the objective for the first event, so that another replica can still meet it. */
         const val FIRST_EVENT_MILLIS = 600L
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -21,6 +21,7 @@
         var sends = 0
         var reads = 0
         var unreachable = 0
+        var secured: DecodePlace? = null
         var last = full()
     }
 
@@ -34,22 +35,45 @@
         val route = attempt.admission.route
         val placeUntil = attempt.request.arrivedMillis + route.objectiveMillis * PLACE_PERCENT / PERCENT
         while (mayTry(attempt, tries)) {
-            if (tries.sends > 0 && !pools.repeats.take(attempt.service)) {
-                attempt.trail += "no repeat left"
-                return unplaced(tries, answer)
-            }
-            // The caller of a stream that broke off waits longer than one whose answer has not begun.
-            val until = if (answer.started) nowMillis() + RESUME_MILLIS else placeUntil
-            val place = places.find(attempt, tries.avoid, until, resumed = answer.started)
-            place ?: return unplaced(tries, answer).also { attempt.trail += "no place" }
+            val place = tries.secured ?: next(attempt, tries, placeUntil, answer)
+            place ?: return unplaced(tries, answer)
+            tries.secured = null
             tries.avoid += place.state.replica.id
-            // A prompt is read apart only for the first try; later ones are few and use the decode replica alone.
             val result = readAndDecode(attempt, tries, place, answer)
-            if (result is Decoded.Ended) return result.value
+            if (result is Decoded.Ended) {
+                // The run may have ended while a place elsewhere was being found.
+                tries.secured?.let(::giveUp)
+                return result.value
+            }
         }
         return unplaced(tries, answer)
     }
 
+    private suspend fun next(
+        attempt: Attempt,
+        tries: Tries,
+        placeUntil: Long,
+        answer: AnswerWriter,
+    ): DecodePlace? {
+        if (tries.sends > 0 && !pools.repeats.take(attempt.service)) {
+            attempt.trail += "no repeat left"
+            return null
+        }
+        // The caller of a stream that broke off waits longer than one whose answer has not begun.
+        val until = if (answer.started) nowMillis() + RESUME_MILLIS else placeUntil
+        val place = places.find(attempt, tries.avoid, until, resumed = answer.started)
+        if (place == null) attempt.trail += "no place"
+        return place
+    }
+
+    /** Finds a place for a request whose replica is silent, so that its run ends only if it can go on elsewhere. */
+    private suspend fun secure(attempt: Attempt, tries: Tries, answer: AnswerWriter): Boolean {
+        if (!pools.repeats.take(attempt.service)) return false
+        tries.secured = places.find(attempt, tries.avoid, untilMillis = 0, resumed = answer.started)
+        if (tries.secured == null) pools.repeats.giveBack(attempt.service)
+        return tries.secured != null
+    }
+
     private fun unplaced(tries: Tries, answer: AnswerWriter): ForwardResult =
         if (answer.started) ForwardResult.Broken(tries.last.detail) else ForwardResult.Failed(tries.last)
 
@@ -126,8 +150,8 @@
             )
         attempt.sending()
         val another = attempt.admission.route.resumable && tries.sends + 1 < attempt.admission.route.maxAttempts
-        val session = DecodeSession(sender, attempt, tries.order, answer, patient = !another)
-        val outcome = session.run(state, call)
+        val moveOn: (suspend () -> Boolean)? = if (another) ({ secure(attempt, tries, answer) }) else null
+        val outcome = DecodeSession(sender, attempt, tries.order, answer, moveOn).run(state, call)
         attempt.trail += "decode $id $outcome"
         return when (outcome) {
             is DecodeOutcome.Whole -> Decoded.Ended(ForwardResult.Streamed).also { state.answered(good = true) }
