Bound the time of a request's head, and remove what nothing uses

Cause: the configured limit for heads was read and not applied; a head that never ends held its connection for the idle limit. The decoder tells nothing of it, so bytes are noted before it.

--- a/core/src/main/kotlin/fireflyhinge/forward/FailureDomains.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/FailureDomains.kt
@@ -2,9 +2,6 @@
 
 /** Where this VM and others are. [regions] maps each failure domain to its region. */
 class FailureDomains(private val own: String, private val regions: Map<String, String>) {
-    /** Region of this VM. */
-    val ownRegion: String = regionOf(own)
-
     /** Region of [domain]; a domain that is not listed counts as a region of its own. */
     fun regionOf(domain: String): String = regions[domain] ?: domain
 
--- a/core/src/main/kotlin/fireflyhinge/forward/VmRecord.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/VmRecord.kt
@@ -8,7 +8,6 @@
  * @property startedAt Unix milliseconds of its start.
  * @property beat raised by the VM itself while it runs.
  * @property ready whether it takes requests.
- * @property strength its share of a processor core, by which callers are spread.
  * @property tokens tokens of its requests at each replica, by the replica's id.
  */
 data class VmRecord(
@@ -19,7 +18,6 @@
     val startedAt: Long,
     val beat: Long = 0,
     val ready: Boolean = false,
-    val strength: Double = 1.0,
     val tokens: Map<String, Long> = emptyMap(),
 ) {
     /** Whether this record was made after [other]. */
--- a/core/src/main/kotlin/fireflyhinge/result/ResultCode.kt
+++ b/core/src/main/kotlin/fireflyhinge/result/ResultCode.kt
@@ -21,6 +21,7 @@
     NOT_FOUND(1010, 404, Run.NOT_RUN, "No resource has this path."),
     METHOD_NOT_ALLOWED(1011, 405, Run.NOT_RUN, "The resource does not accept this method."),
     CALLER_LEFT(1012, 400, Run.UNKNOWN, "The caller closed its sending side before the answer was complete."),
+    HEADER_TIMEOUT(1013, 408, Run.NOT_RUN, "The request headers did not arrive within the read limit."),
     KEY_ABSENT(2001, 401, Run.NOT_RUN, "The request has no API key."),
     KEY_UNKNOWN(2002, 401, Run.NOT_RUN, "The API key is not known or was withdrawn."),
     KEY_WITHDRAWN(2003, 401, Run.PARTIAL, "The API key was withdrawn while the answer was sent."),
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -206,7 +206,6 @@
                 control = settings.control.text(),
                 failureDomain = settings.failureDomain,
                 startedAt = System.currentTimeMillis(),
-                strength = settings.strength,
             )
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/GatewaySettings.kt
@@ -16,7 +16,6 @@
  * @property seeds control addresses of VMs that may run; they may be out of date.
  * @property store address of the platform's store.
  * @property firstStart whether the whole system starts for the first time.
- * @property strength share of a processor core.
  * @property stopMillis time from SIGTERM until the process is killed.
  */
 data class GatewaySettings(
@@ -29,7 +28,6 @@
     val seeds: List<String>,
     val store: String,
     val firstStart: Boolean,
-    val strength: Double,
     val stopMillis: Long,
     val quota: QuotaBounds = QuotaBounds(),
     val repeats: RepeatBounds = RepeatBounds(),
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerMessages.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerMessages.kt
@@ -64,7 +64,6 @@
             .put("started_at", vm.startedAt)
             .put("beat", vm.beat)
             .put("ready", vm.ready)
-            .put("strength", vm.strength)
             .also { node -> vm.tokens.forEach { (id, count) -> node.withObject("/tokens").put(id, count) } }
 
     private fun vm(node: JsonNode) =
@@ -76,7 +75,6 @@
             startedAt = node.path("started_at").asLong(),
             beat = node.path("beat").asLong(),
             ready = node.path("ready").asBoolean(),
-            strength = node.path("strength").asDouble(1.0),
             tokens = node.path("tokens").properties().associate { it.key to it.value.asLong() },
         )
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/CallerConnection.kt
@@ -34,6 +34,9 @@
     private val memory: MemoryLimit,
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private val incoming = IncomingRequest(limits, memory)
+
+    /** Notes bytes before they are decoded; belongs before the decoder. */
+    val arrival = HeadArrival()
     private val waiting = ArrayDeque<Pair<CallerRequest, Boolean>>()
     private var job: Job? = null
     private var closing = false
@@ -44,13 +47,9 @@
 
     override fun channelRead0(ctx: ChannelHandlerContext, message: HttpObject) {
         if (closing) return
-        val fault = if (message.decoderResult().isFailure) {
-            faultOf(
-                message.decoderResult().cause()
-            )
-        } else {
-            incoming.add(message)
-        }
+        arrival.headRead()
+        val broken = message.decoderResult().isFailure
+        val fault = if (broken) faultOf(message.decoderResult().cause()) else incoming.add(message)
         if (fault != null) return refuse(fault)
         if (message is HttpRequest && HttpUtil.is100ContinueExpected(message)) {
             channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
@@ -140,7 +139,10 @@
     /** Closes the connection if it has been idle, or a request takes too long to arrive. */
     fun checkTimes(now: CallerLimits) {
         val since = incoming.since
+        val headSince = arrival.since.takeIf { since == null }
         when {
+            closing -> Unit
+            headSince != null && nowMillis() - headSince > now.headerMillis -> refuse(ResultCode.HEADER_TIMEOUT)
             since != null && nowMillis() - since > BODY_MILLIS -> refuse(ResultCode.BODY_TIMEOUT)
             since == null && !answering && nowMillis() - quietSince > now.idleMillis -> closeGently()
         }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
@@ -9,24 +9,15 @@
 import java.net.ConnectException
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicInteger
 
 /** Connections to servers, opened when needed and kept for the next request. Thread-safe. */
 internal class ConnectionPool(private val io: Io, private val connectMillis: Int = CONNECT_MILLIS) {
     private class Server {
-        val open = AtomicInteger()
         val idle = ArrayDeque<OutboundConnection>()
     }
 
     private val servers = ConcurrentHashMap<String, Server>()
 
-    /** Connections to [address] that are open, idle ones included. */
-    fun open(address: String): Int = servers[address]?.open?.get() ?: 0
-
-    /** Whether a request to [address] needs no new connection. */
-    fun hasIdle(address: String): Boolean =
-        servers[address]?.let { server -> synchronized(server) { server.idle.any { it.reusable } } } ?: false
-
     /** A connection to [address]: the one used last, or a new one. Throws [ConnectFailed]. */
     suspend fun acquire(address: String): OutboundConnection {
         val server = servers.computeIfAbsent(address) { Server() }
@@ -67,9 +58,7 @@
     }
 
     private fun track(connection: OutboundConnection, server: Server): OutboundConnection {
-        server.open.incrementAndGet()
         connection.onClosed = {
-            server.open.decrementAndGet()
             synchronized(server) { server.idle.remove(connection) }
         }
         return connection
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpListener.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpListener.kt
@@ -79,7 +79,7 @@
                 )
             connections += connection
             channel.closeFuture().addListener { connections -= connection }
-            channel.pipeline().addLast(HttpServerCodec(config), connection)
+            channel.pipeline().addLast(connection.arrival, HttpServerCodec(config), connection)
         }
     }
 
