--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PlatformStore.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PlatformStore.kt
@@ -6,8 +6,8 @@
 
 /** The platform's store, as far as this system uses it. Every call is priced and counts against its rate. */
 interface PlatformStore {
-    /** All objects of [kind]. With [stale], a cheaper answer that may be seconds old. */
-    suspend fun list(kind: FeedKind, stale: Boolean = false): FeedAnswer
+    /** All objects of [kind]. */
+    suspend fun list(kind: FeedKind): FeedAnswer
 
     /** Waits up to [waitMillis] for changes of [kind] after [revision]. */
     suspend fun watch(kind: FeedKind, revision: Long, waitMillis: Long): FeedAnswer
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -18,9 +18,15 @@
     private class Tries(lastEvent: Long?) {
         val order = EventOrder(lastEvent)
         val avoid = HashSet<String>()
+
+        /** Runs that decode replicas got, and times that the prompt was sent to be read. */
         var sends = 0
         var reads = 0
+
+        /** Replicas that could not be used for a reason of their own. */
         var unreachable = 0
+
+        /** A place that was found while the replica before was silent. */
         var secured: DecodePlace? = null
         var last = full()
     }
@@ -188,7 +194,7 @@
             return Decoded.Kept
         }
         tries.sends++
-        // The cache may have lapsed, which the answer does not tell apart from a full replica: try without it first.
+        // The cache may have lapsed; the answer does not tell that apart from a full replica.
         if (withCache) return Decoded.CacheLost
         state.full = true
         return Decoded.Kept
@@ -203,13 +209,18 @@
         return Decoded.Spent
     }
 
+    /** What a run at a decode replica means for the request. */
     private sealed interface Decoded {
+        /** The request has its outcome. */
         class Ended(val value: ForwardResult) : Decoded
 
+        /** The replica did not run the request, perhaps because it could not fetch the cache. */
         data object CacheLost : Decoded
 
+        /** The run may have begun; the request may go on elsewhere if it is resumable. */
         data object Spent : Decoded
 
+        /** The replica did not run the request. */
         data object Kept : Decoded
     }
 
@@ -229,7 +240,7 @@
         /** Callers leave after two seconds without an event; reading the prompt anew takes some 0.3 s. */
         const val RESUME_MILLIS = 1_200L
 
-        /** Part of the objective that a request waits for a place; callers should rather come back after a burst. */
+        /** Part of the objective that a request waits for a place; the rest is enough to read the prompt. */
         const val PLACE_PERCENT = 80
         const val PERCENT = 100
 
