Pass the linter again in gateway and platform

The check had been run for single modules, where it could not resolve core and printed no finding, and only findings were looked at.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/EntryHandler.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/EntryHandler.kt
@@ -47,7 +47,7 @@
         const val UNAVAILABLE = 503
         const val METRICS_PATH = "/metrics"
 
-        /** A VM that fails is out of new answers within three seconds; some callers keep answers three times as long. */
+        /** A VM that fails is out of answers within three seconds; some callers keep them three times as long. */
         const val TTL_SECONDS = 2
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -10,7 +10,6 @@
 import fireflyhinge.forward.ForwardConfig
 import fireflyhinge.forward.QuotaShares
 import fireflyhinge.forward.RepeatShares
-import fireflyhinge.forward.Replica
 import fireflyhinge.forward.ReplicaChooser
 import fireflyhinge.forward.ReplicaTable
 import fireflyhinge.forward.VmRecord
@@ -58,7 +57,10 @@
     private val news = FleetNews(fleet, table, ::ready)
     private val gossip = Gossip(domains, peers, feeds, { this.settings.seeds }, news)
     private val shares = QuotaShares(settings.quota, ::part, settings.firstStart)
-    private val repeats = RepeatShares(settings.repeats, ::sharing)
+    private val repeats =
+        RepeatShares(settings.repeats) {
+            if (fleetKnown()) fleet.sharing().size else maxOf(fleet.sharing().size, UNKNOWN_VMS)
+        }
     private val pools = ReplicaPools(table, ReplicaChooser(table, domains, ::memoryOf), repeats)
     private val replicaPool = ConnectionPool(io)
     private val sender = ReplicaSender(replicaPool, dialects.replicas)
@@ -155,8 +157,6 @@
         }
     }
 
-    private fun sharing(): Int = if (fleetKnown()) fleet.sharing().size else maxOf(fleet.sharing().size, UNKNOWN_VMS)
-
     private fun fleetKnown() = fleetListed || gossip.answered > 0 || nowMillis() - startedAt > UNKNOWN_MILLIS
 
     private fun memoryOf(service: String): Int = config?.services?.get(service)?.memoryTokens ?: 0
@@ -177,15 +177,10 @@
     private fun list(state: FeedState) {
         val replicas = dialects.feeds.replicas(state.items().values)
         table.replace(replicas)
-        log.atInfo().addKeyValue("replicas", replicas.map(::describe))
+        log.atInfo().addKeyValue("replicas", replicas.map { it.brief() })
             .log("replicas listed")
     }
 
-    private fun describe(replica: Replica): String {
-        val state = if (replica.leaving) " leaving" else ""
-        return "${replica.id} ${replica.stage} ${replica.failureDomain}$state"
-    }
-
     private companion object {
         /** Callers that hold an older answer come in this time; later ones are refused and use another address. */
         const val ANNOUNCED_MILLIS = 2_500L
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/LoadNews.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/LoadNews.kt
@@ -10,8 +10,8 @@
 import java.io.IOException
 
 /**
- * Tells near VMs at once when requests of this VM begin or end at decode replicas. Exchanges are too slow for that: in a
- * burst, VMs that do not hear of each other's requests fill a replica's memory twice.
+ * Tells near VMs at once when requests of this VM begin or end at decode replicas. Exchanges are too slow for that: in
+ * a burst, VMs that do not hear of each other's requests fill a replica's memory twice.
  */
 internal class LoadNews(
     private val scope: CoroutineScope,
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
@@ -16,8 +16,8 @@
 /**
  * One run of a model request at a decode replica. Used by one coroutine, once.
  *
- * @param moveOn called when the replica is silent; true if the request goes on elsewhere, and the run is to end. Null if
- * this run is the last one. A sound replica may pause, so silence alone ends no run.
+ * @param moveOn called when the replica is silent; true if the request goes on elsewhere, and the run is to end. Null
+ * if this run is the last one. A sound replica may pause, so silence alone ends no run.
  */
 internal class DecodeSession(
     private val sender: ReplicaSender,
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
@@ -91,7 +91,8 @@
     /** A repeatable request that may be sent again does not wait for a silent replica until its end. */
     private fun patience(attempt: Attempt, tries: Tries): Long {
         val route = attempt.admission.route
-        val another = route.repeatable && tries.sends + 1 < route.maxAttempts && pools.repeats.available(attempt.service)
+        val allowed = route.repeatable && tries.sends + 1 < route.maxAttempts
+        val another = allowed && pools.repeats.available(attempt.service)
         val first = maxOf(route.objectiveMillis * FIRST_PERCENT / PERCENT, LEAST_PATIENCE_MILLIS)
         return if (another) minOf(first, attempt.remaining) else attempt.remaining
     }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -29,6 +29,15 @@
         /** A place that was found while the replica before was silent. */
         var secured: DecodePlace? = null
         var last = full()
+
+        fun mayTry(attempt: Attempt): Boolean {
+            val route = attempt.admission.route
+            val allowed = sends < route.maxAttempts && unreachable < MOST_UNREACHABLE
+            return allowed && attempt.remaining > 0 && (route.resumable || !attempt.mayHaveRun)
+        }
+
+        fun failed(answer: AnswerWriter): ForwardResult =
+            if (answer.started) ForwardResult.Broken(last.detail) else ForwardResult.Failed(last)
     }
 
     private val prefills = PrefillStep(pools, sender)
@@ -40,9 +49,9 @@
         val tries = Tries(attempt.facts.lastEvent)
         val route = attempt.admission.route
         val placeUntil = attempt.request.arrivedMillis + route.objectiveMillis * PLACE_PERCENT / PERCENT
-        while (mayTry(attempt, tries)) {
+        while (tries.mayTry(attempt)) {
             val place = tries.secured ?: next(attempt, tries, placeUntil, answer)
-            place ?: return unplaced(tries, answer)
+            place ?: return tries.failed(answer)
             tries.secured = null
             tries.avoid += place.state.replica.id
             val result = readAndDecode(attempt, tries, place, answer)
@@ -52,7 +61,7 @@
                 return result.value
             }
         }
-        return unplaced(tries, answer)
+        return tries.failed(answer)
     }
 
     private suspend fun next(
@@ -80,9 +89,6 @@
         return tries.secured != null
     }
 
-    private fun unplaced(tries: Tries, answer: AnswerWriter): ForwardResult =
-        if (answer.started) ForwardResult.Broken(tries.last.detail) else ForwardResult.Failed(tries.last)
-
     private suspend fun readAndDecode(
         attempt: Attempt,
         tries: Tries,
@@ -130,12 +136,6 @@
         place.reservation?.let { calls.unreserve(place.state, it) }
     }
 
-    private fun mayTry(attempt: Attempt, tries: Tries): Boolean {
-        val route = attempt.admission.route
-        val allowed = tries.sends < route.maxAttempts && tries.unreachable < MOST_UNREACHABLE
-        return allowed && attempt.remaining > 0 && (route.resumable || !attempt.mayHaveRun)
-    }
-
     private suspend fun decode(
         attempt: Attempt,
         tries: Tries,
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/forward/RefusalsTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/forward/RefusalsTest.kt
@@ -19,12 +19,18 @@
 
     private fun attempt(left: Long, sent: Boolean): Attempt {
         val target = listOf(RouteTarget("s"))
-        val route = ForwardRoute("r", "h", "/", CallKind.NON_IDEMPOTENT, target, timeoutMillis = 500, objectiveMillis = 300)
+        val route = ForwardRoute("r", "h", "/", CallKind.NON_IDEMPOTENT, target, 500, 300)
         val admission = Admission(route, workspace = null, configVersion = 1)
         return Attempt(request, facts, admission, "s", nowMillis() + left).apply { if (sent) sending() }
     }
 
-    private class Case(val what: String, val left: Long, val sent: Boolean, val failure: ResultCode, val told: ResultCode)
+    private class Case(
+        val what: String,
+        val left: Long,
+        val sent: Boolean,
+        val failure: ResultCode,
+        val told: ResultCode,
+    )
 
     /**
      * Guards against a refusal that says "not run" after the request was sent, and against another code than the
