Give back what is left of quota loans

Cause: a VM that holds no part of a limit asked three holders for half of the missing tokens each and kept the surplus, and kept partial loans of requests that were refused. With 62 VMs and eight holders these tokens serve nobody.

Ruled out: the limit itself.

Change: one near holder is asked for all that is missing, more of them only for the rest; what is not needed goes back to a holder, but for a hundredth of a second's rate, so that small requests do not need a loan each.

--- a/core/src/main/kotlin/fireflyhinge/forward/QuotaShares.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/QuotaShares.kt
@@ -48,6 +48,25 @@
     fun missing(workspace: ForwardWorkspace, tokens: Double): Double =
         if (workspace.limit.ratePerSecond <= 0) 0.0 else maxOf(0.0, tokens - share(workspace).level)
 
+    /** Tokens to borrow for a request of [tokens]: what is missing, and some for small requests that follow. */
+    @Synchronized
+    fun toBorrow(workspace: ForwardWorkspace, tokens: Double): Double = missing(workspace, tokens) + kept(workspace)
+
+    /**
+     * Takes the tokens of [workspace] that this VM has without holding a part of the limit, but for a few: rests of
+     * loans and of requests that did not run. Left here, they would serve only requests that happen to come to this VM.
+     */
+    @Synchronized
+    fun takeSurplus(workspace: ForwardWorkspace): Double {
+        if (workspace.limit.ratePerSecond <= 0 || part(workspace.name) > 0) return 0.0
+        val share = share(workspace)
+        val surplus = share.level - kept(workspace)
+        return if (surplus >= 1 && share.take(surplus)) surplus else 0.0
+    }
+
+    private fun kept(workspace: ForwardWorkspace): Double =
+        if (part(workspace.name) > 0) 0.0 else workspace.limit.ratePerSecond * KEPT_SECONDS
+
     /** Milliseconds until this VM's share holds [tokens], at most [LONGEST_WAIT_MILLIS]. */
     @Synchronized
     fun waitFor(workspace: ForwardWorkspace, tokens: Double): Long {
@@ -86,6 +105,12 @@
         /** Part of its depth that a restarted VM begins with. */
         const val RESTART_PART = 0.3
 
+        /**
+         * What a VM without a part of a limit keeps of it, in seconds of the limit's rate. With a hundred such VMs that
+         * is one second's rate, and small requests do not need a loan each.
+         */
+        const val KEPT_SECONDS = 0.01
+
         const val SHORTEST_WAIT_MILLIS = 100L
         const val LONGEST_WAIT_MILLIS = 3_000L
     }
--- a/core/src/test/kotlin/fireflyhinge/forward/QuotaSharesTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/QuotaSharesTest.kt
@@ -56,6 +56,37 @@
         return granted
     }
 
+    /**
+     * Load: a workspace sends nine tenths of its rate, or twice its rate, to 62 VMs of which eight hold its limit.
+     * Guards against tokens that stay with VMs which borrowed more than they needed, or too little for their request.
+     */
+    @Test
+    fun theLimitIsGrantedAtVmsThatHoldNoPartOfIt() {
+        listOf(22 to 0.9, 10 to 1.0).forEach { (pause, least) ->
+            val random = Random(2)
+            val vms = List(62) { vm -> QuotaShares(bounds, { if (vm < VMS) 1.0 / VMS else 0.0 }, fresh = true, clock) }
+            val holders = vms.take(VMS)
+            val granted = (1..6_000).sumOf {
+                clock.advance(10)
+                val sent = random.nextInt(pause) == 0
+                if (sent) chargeAt(vms.random(random), holders.shuffled(random), random.nextInt(3_000, 9_000)) else 0
+            }
+            val part = granted / (limit.ratePerSecond * 60)
+            assertTrue(part >= least, "one request in ${pause * 10} ms: $part of the limit was granted")
+        }
+    }
+
+    /** Charges a request of [tokens] at [own], with loans from [holders]. Returns the tokens granted. */
+    private fun chargeAt(own: QuotaShares, holders: List<QuotaShares>, tokens: Int): Int {
+        if (own.missing(workspace, tokens.toDouble()) > 0) {
+            var wanted = own.toBorrow(workspace, tokens.toDouble())
+            holders.forEach { holder -> wanted -= holder.lend(workspace, wanted).also { own.add(workspace, it) } }
+        }
+        val granted = own.take(workspace, tokens.toDouble())
+        holders.first().add(workspace, own.takeSurplus(workspace))
+        return if (granted) tokens else 0
+    }
+
     /** Guards against tokens that vanish when they are given back or lent to a VM whose bucket is full. */
     @Test
     fun tokensThatAreGivenBackAreNotLostAtTheDepth() {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -82,7 +82,7 @@
             replicas = dialects.replicas,
             steps =
             ForwardSteps(
-                quota = QuotaGate(shares, QuotaLoans(fleet, domains, peers)),
+                quota = QuotaGate(shares, QuotaLoans(fleet, domains, peers), io.scope),
                 plain = PlainForwarder(pools, sender),
                 streams = StreamForwarder(pools, sender, ReplicaCalls(io, HttpCalls(replicaPool), dialects.places)),
             ),
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/ControlHandler.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/ControlHandler.kt
@@ -38,6 +38,7 @@
                 PeerMessages.encode(gossip.received(PeerMessages.exchange(request.body)))
             request.uri == LoadNews.PATH -> EMPTY.also { gossip.received(PeerMessages.exchange(request.body)) }
             request.uri == QuotaLoans.PATH -> lend(request.body)
+            request.uri == QuotaLoans.REPAY_PATH -> EMPTY.also { repaid(request.body) }
             request.uri.startsWith(Gossip.FEED_PATH) ->
                 feeds.find { it.kind.name == request.uri.removePrefix(Gossip.FEED_PATH) }?.let {
                     PeerMessages.encode(FeedAnswer.Listing(it.state.items().values.toList(), it.revision))
@@ -51,6 +52,11 @@
         return PeerMessages.encodeLoan(workspace, lent)
     }
 
+    private fun repaid(body: ByteArray) {
+        val (workspace, tokens) = PeerMessages.loan(body)
+        config()?.workspaces?.get(workspace)?.let { quota.add(it, tokens) }
+    }
+
     private companion object {
         val EMPTY = ByteArray(0)
         const val OK = 200
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/QuotaLender.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/QuotaLender.kt
@@ -1,7 +1,10 @@
 package fireflyhinge.gateway.fleet
 
-/** Asks other VMs for tokens of a workspace. */
-internal fun interface QuotaLender {
-    /** Borrows about [tokens] of [workspace]. Returns how many were lent, which may be less or a little more. */
+/** Borrows tokens of a workspace from other VMs, and gives back those that are not needed. */
+internal interface QuotaLender {
+    /** Borrows [tokens] of [workspace]. Returns how many were lent, which may be less or a little more. */
     suspend fun borrow(workspace: String, tokens: Double): Double
+
+    /** Gives [tokens] of [workspace] to a VM that holds a part of its limit. */
+    suspend fun repay(workspace: String, tokens: Double)
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/QuotaLoans.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/QuotaLoans.kt
@@ -17,14 +17,34 @@
 ) : QuotaLender {
     private val log = LoggerFactory.getLogger(javaClass)
 
-    /** Borrows parts of [tokens] from a few near VMs at a time, then the rest from others. */
+    /** Borrows [tokens] from one near holder of the limit, and what that one lacks from more of them at a time. */
     override suspend fun borrow(workspace: String, tokens: Double): Double {
-        val holders = fleet.holders(workspace).toSet()
-        val live = fleet.live().filter { it.name in holders }
-        val lenders = live.shuffled().sortedBy { domains.distance(it.failureDomain) }
-        val near = ask(lenders.take(LENDERS_AT_A_TIME), workspace, tokens / 2)
-        if (near >= tokens) return near
-        return near + ask(lenders.drop(LENDERS_AT_A_TIME).take(LENDERS_AT_A_TIME), workspace, tokens - near)
+        val lenders = holders(workspace)
+        var borrowed = 0.0
+        var asked = 0
+        for (size in LENDERS_AT_A_TIME) {
+            if (borrowed >= tokens) break
+            borrowed += ask(lenders.drop(asked).take(size), workspace, tokens - borrowed)
+            asked += size
+        }
+        return borrowed
+    }
+
+    /** Gives [tokens] that nobody here needs to a near holder of the limit; they are lost if it does not get them. */
+    override suspend fun repay(workspace: String, tokens: Double) {
+        val near = holders(workspace).firstOrNull()
+        if (near == null) return log.atInfo().addKeyValue("workspace", workspace).log("no VM to give tokens back to")
+        try {
+            peers.post(near.control, REPAY_PATH, PeerMessages.encodeLoan(workspace, tokens), ANSWER_MILLIS)
+        } catch (e: IOException) {
+            log.atInfo().addKeyValue("vm", near.name).addKeyValue("reason", e.message).log("tokens were not given back")
+        }
+    }
+
+    /** VMs that hold parts of the limit and run, nearest first. */
+    private fun holders(workspace: String): List<VmRecord> {
+        val names = fleet.holders(workspace).toSet()
+        return fleet.live().filter { it.name in names }.shuffled().sortedBy { domains.distance(it.failureDomain) }
     }
 
     private suspend fun ask(lenders: List<VmRecord>, workspace: String, tokens: Double): Double =
@@ -40,11 +60,12 @@
         }
 
     companion object {
-        /** Path of the control interface. */
+        /** Paths of the control interface. */
         const val PATH = "/peer/v1/borrow"
+        const val REPAY_PATH = "/peer/v1/repay"
 
-        /** Three VMs at a time: few messages, and one that does not answer costs no more time. */
-        private const val LENDERS_AT_A_TIME = 3
+        /** Mostly one VM has enough. The number grows, so that three round trips ask all eight. */
+        private val LENDERS_AT_A_TIME = listOf(1, 2, 5)
 
         /** Twice the round trip between regions. */
         private const val ANSWER_MILLIS = 150L
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/QuotaGate.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/QuotaGate.kt
@@ -4,11 +4,17 @@
 import fireflyhinge.forward.QuotaShares
 import fireflyhinge.gateway.fleet.QuotaLender
 import fireflyhinge.gateway.http.nowMillis
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import java.util.concurrent.ConcurrentHashMap
 
 /** Charges requests to their workspace: from this VM's share, else with tokens that another VM lends. */
-internal class QuotaGate(private val shares: QuotaShares, private val lender: QuotaLender) {
+internal class QuotaGate(
+    private val shares: QuotaShares,
+    private val lender: QuotaLender,
+    private val scope: CoroutineScope,
+) {
     private val nextAsk = ConcurrentHashMap<String, Long>()
     private val waiting = ConcurrentHashMap<String, Int>()
 
@@ -19,13 +25,14 @@
     suspend fun charge(workspace: ForwardWorkspace, tokens: Double, patienceMillis: Long): Long? {
         if (shares.take(workspace, tokens)) return null
         val name = workspace.name
-        val others = waiting.getOrDefault(name, 0)
-        if (others >= MOST_WAITING) return shares.waitFor(workspace, tokens)
+        val ahead = waiting.getOrDefault(name, 0)
+        if (ahead >= MOST_WAITING) return shares.waitFor(workspace, tokens)
         waiting.merge(name, 1, Int::plus)
         try {
             return borrowed(workspace, tokens, nowMillis() + patienceMillis)
         } finally {
-            waiting.merge(name, -1, Int::plus)
+            val others = waiting.merge(name, -1, Int::plus)
+            if (others == 0) repay(workspace)
         }
     }
 
@@ -34,7 +41,7 @@
             val now = nowMillis()
             if (now >= (nextAsk[workspace.name] ?: 0)) {
                 nextAsk[workspace.name] = now + ASK_PAUSE_MILLIS
-                shares.add(workspace, lender.borrow(workspace.name, shares.missing(workspace, tokens)))
+                shares.add(workspace, lender.borrow(workspace.name, shares.toBorrow(workspace, tokens)))
             }
             if (shares.take(workspace, tokens)) return null
             if (nowMillis() + ASK_PAUSE_MILLIS > until) return shares.waitFor(workspace, tokens)
@@ -43,7 +50,15 @@
     }
 
     /** Gives back [tokens] of a request that no replica got. */
-    fun giveBack(workspace: ForwardWorkspace, tokens: Double) = shares.add(workspace, tokens)
+    fun giveBack(workspace: ForwardWorkspace, tokens: Double) {
+        shares.add(workspace, tokens)
+        repay(workspace)
+    }
+
+    private fun repay(workspace: ForwardWorkspace) {
+        val surplus = shares.takeSurplus(workspace)
+        if (surplus > 0) scope.launch { lender.repay(workspace.name, surplus) }
+    }
 
     private companion object {
         /** A workspace beyond its limit asks other VMs this often, not with each request. */
