Space exchanges by the size of the fleet, and read the store less often

Change: with more than 24 VMs exchanges are up to 3.5 times as far apart and mostly within the failure domain; four VMs are told of each request; a refused connection is noted there too; connections between VMs are kept for 10 s; the next watch begins 600 ms after a change, and tries at a lost store are up to 1.6 s apart.

Test: FleetViewTest#exchangesOfLargeFleetsAreFartherApartAndSilenceIsLonger.

--- a/core/src/main/kotlin/fireflyhinge/forward/FleetView.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/FleetView.kt
@@ -57,6 +57,13 @@
         known[name]?.let { it.refusedBeat = it.record.beat }
     }
 
+    /**
+     * How much farther apart exchanges are than in a small fleet. Their size grows with the number of VMs, so their
+     * rate falls with it; the nearest VMs still hear of each other with each request.
+     */
+    val spacing: Double
+        @Synchronized get() = (known.size.toDouble() / SMALL_FLEET).coerceIn(1.0, MOST_SPACING)
+
     /** Records of all VMs, this one first. */
     @Synchronized
     fun all(): List<VmRecord> = listOf(own) + known.values.map { it.record }
@@ -66,7 +73,7 @@
     fun live(): List<VmRecord> {
         val now = clock.millis()
         return known.values
-            .filter { now - it.heardAt < FRESH_MILLIS && it.refusedBeat != it.record.beat }
+            .filter { now - it.heardAt < FRESH_MILLIS * (1 + spacing) / 2 && it.refusedBeat != it.record.beat }
             .map { it.record }
     }
 
@@ -91,6 +98,12 @@
         /** A beat is passed on within about two exchanges of half a second each; twice that is silence. */
         const val FRESH_MILLIS = 2_500L
 
+        /** VMs whose records fit into some kilobytes. */
+        const val SMALL_FLEET = 24
+
+        /** Exchanges are a second apart at most, so that a VM that fails is found within some five seconds. */
+        const val MOST_SPACING = 3.5
+
         /** Longer than a restart or an ordinary partition, so that shares do not change with these. */
         const val SHARING_MILLIS = 20_000L
 
--- a/core/src/test/kotlin/fireflyhinge/forward/FleetViewTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/FleetViewTest.kt
@@ -31,6 +31,24 @@
         assertEquals(setOf("own:1"), fronts("north"), "all others are silent")
     }
 
+    /**
+     * Load: 83 VMs, whose records make each exchange large. Guards against messages that grow with the square of the
+     * number of VMs, and against VMs that count as silent between two exchanges that are farther apart.
+     */
+    @Test
+    fun exchangesOfLargeFleetsAreFartherApartAndSilenceIsLonger() {
+        listOf(7 to 1.0, 24 to 1.0, 48 to 2.0, 500 to 3.5).forEach { (others, spacing) ->
+            val view = FleetView(vm("own", "north"), clock)
+            view.merge((1..others).map { vm("v$it", "north") })
+            assertEquals(spacing, view.spacing, "$others others")
+            listOf(1.0 to others, 1.1 to 0).forEach { (times, live) ->
+                clock.advance(((2_500 * (1 + spacing) / 2 - 1) * times).toLong())
+                assertEquals(live, view.live().size, "$others others, $times of the longest silence")
+                view.merge((1..others).map { vm("v$it", "north", beat = 2) })
+            }
+        }
+    }
+
     /** Guards against a VM that is cut off and takes the shares of all others, who still use them. */
     @Test
     fun limitsAreSharedWithSilentVmsWhileMostAreSilent() {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -60,7 +60,7 @@
     private val configFeed = Feed(FeedKind.CONFIGURATION, store, ::configure)
     private val replicaFeed = Feed(FeedKind.REPLICAS, store, ::list)
     private val feeds = listOf(configFeed, replicaFeed)
-    private val peers = PeerClient(HttpCalls(ConnectionPool(io)))
+    private val peers = PeerClient(HttpCalls(ConnectionPool(io, unstatedIdleMillis = PEER_IDLE_MILLIS)))
     private val news = FleetNews(fleet, table, ::ready)
     private val gossip = Gossip(domains, peers, feeds, { this.settings.seeds }, news)
     private val shares = QuotaShares(settings.quota, ::part, settings.firstStart)
@@ -207,6 +207,9 @@
         /** Time for the process to end before it is killed; a VM with a part of a core needs more than half of it. */
         const val STOP_MARGIN_MILLIS = 1_200L
         const val POLL_MILLIS = 20L
+
+        /** VMs close idle connections of others after fifteen seconds ([CallerLimits]). */
+        const val PEER_IDLE_MILLIS = 10_000L
         const val REGISTER_PAUSE_MILLIS = 1_000L
 
         /** VMs that are assumed to share limits as long as none is known, at most for [UNKNOWN_MILLIS]. */
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Feed.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Feed.kt
@@ -121,14 +121,19 @@
         /** A waiting watch is one priced call; silence of its connection is found by keep-alive probes. */
         const val WATCH_MILLIS = 25_000L
 
-        /** Far below the three seconds in which a change must hold. */
-        const val GATHER_MILLIS = 150L
+        /**
+         * Far below the three seconds in which a change must hold. Each watch that returns is a priced call of each VM,
+         * and replicas come and go in groups.
+         */
+        const val GATHER_MILLIS = 600L
 
         /** Store watches deliver within milliseconds; exchanges between VMs take a second. */
-        const val WATCH_LAG_MILLIS = 800L
+        const val WATCH_LAG_MILLIS = 1_000L
 
         const val FIRST_PAUSE_MILLIS = 200L
-        const val MAX_DOUBLINGS = 2
-        const val LONGEST_PAUSE_MILLIS = 800L
+        const val MAX_DOUBLINGS = 3
+
+        /** Below the two seconds in which replicas write their entries again after an outage. */
+        const val LONGEST_PAUSE_MILLIS = 1_600L
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
@@ -34,7 +34,8 @@
         while (true) {
             round()
             // Random pauses keep the VMs from exchanging all at once.
-            delay(ROUND_MILLIS / 2 + Random.nextLong(ROUND_MILLIS))
+            val pause = (ROUND_MILLIS * fleet.spacing).toLong()
+            delay(pause / 2 + Random.nextLong(pause))
         }
     }
 
@@ -51,7 +52,10 @@
         coroutineScope { fleet.live().take(MOST_TOLD).forEach { launch { exchange(it.control) } } }
     }
 
-    /** Mostly VMs of the own region: the link between regions is narrow. Seeds are asked while nobody is known. */
+    /**
+     * Mostly VMs of the own failure domain, or of the own region if there are few: links between them are narrow and
+     * paid by volume. Seeds are asked while nobody is known.
+     */
     private fun partner(): String? {
         val known = fleet.all().filter { it.name != fleet.self.name }
         if (known.isEmpty() || round % SEED_ROUNDS == 0L) {
@@ -60,7 +64,8 @@
                 return others[seedNumber++ % others.size]
             }
         }
-        val local = known.filter { domains.distance(it.failureDomain) < 2 }
+        val beside = known.filter { domains.distance(it.failureDomain) == 0 }
+        val local = if (beside.size >= ENOUGH) beside else known.filter { domains.distance(it.failureDomain) < 2 }
         val pool = if (round % REMOTE_ROUNDS == 0L || local.isEmpty()) known else local
         return pool.randomOrNull()?.control
     }
@@ -100,11 +105,14 @@
         const val EXCHANGE_PATH = "/peer/v1/exchange"
         const val FEED_PATH = "/peer/v1/feed/"
 
-        /** One exchange in this time: news reach eight VMs in about a second, at three messages a VM and second. */
+        /** One exchange in this time in a small fleet: news reach eight VMs in about a second. */
         private const val ROUND_MILLIS = 300L
         private const val SEED_ROUNDS = 10L
 
-        /** One exchange of four may leave the region. */
+        /** VMs of a failure domain that exchange mostly among themselves. */
+        private const val ENOUGH = 6
+
+        /** One exchange of four may leave the failure domain and the region. */
         private const val REMOTE_ROUNDS = 4L
         private const val MOST_TOLD = 16
     }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/LoadNews.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/LoadNews.kt
@@ -3,6 +3,7 @@
 import fireflyhinge.forward.FailureDomains
 import fireflyhinge.forward.ReplicaTable
 import fireflyhinge.forward.VmRecord
+import fireflyhinge.gateway.http.ConnectFailed
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -37,13 +38,17 @@
 
     private fun tell(record: VmRecord) {
         val body = PeerMessages.encode(PeerExchange(listOf(record), emptyMap()))
-        val near = news.fleet.live().sortedBy { domains.distance(it.failureDomain) }.take(MOST_TOLD)
+        val count = if (news.fleet.spacing > 1) TOLD_IN_LARGE_FLEETS else MOST_TOLD
+        val near = news.fleet.live().shuffled().sortedBy { domains.distance(it.failureDomain) }.take(count)
         near.forEach { vm -> scope.launch { send(vm, body) } }
     }
 
     private suspend fun send(vm: VmRecord, body: ByteArray) {
         try {
             peers.post(vm.control, PATH, body)
+        } catch (e: ConnectFailed) {
+            if (e.refused) news.fleet.refused(vm.name)
+            log.debug("VM {} was not told: {}", vm.name, e.message)
         } catch (e: IOException) {
             log.debug("VM {} was not told: {}", vm.name, e.message)
         }
@@ -56,7 +61,10 @@
         /** Requests begin some ten times a second in a region; several are told at once. */
         private const val GATHER_MILLIS = 40L
 
-        /** In a larger fleet the others hear of it by exchange. */
+        /** All others in a small fleet. */
         private const val MOST_TOLD = 8
+
+        /** A third of a failure domain; the others hear of it by exchange, and replicas confirm their places. */
+        private const val TOLD_IN_LARGE_FLEETS = 4
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
@@ -11,7 +11,11 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /** Connections to servers, opened when needed and kept for the next request. Thread-safe. */
-internal class ConnectionPool(private val io: Io, private val connectMillis: Int = CONNECT_MILLIS) {
+internal class ConnectionPool(
+    private val io: Io,
+    private val connectMillis: Int = CONNECT_MILLIS,
+    private val unstatedIdleMillis: Long = OutboundConnection.UNSTATED_IDLE_MILLIS,
+) {
     private class Server {
         val idle = ArrayDeque<OutboundConnection>()
     }
@@ -54,7 +58,7 @@
             // Cancelled while connecting: nobody would close the connection.
             if (!future.isSuccess) future.channel().close()
         }
-        return track(OutboundConnection(future.channel(), address), server)
+        return track(OutboundConnection(future.channel(), address, unstatedIdleMillis), server)
     }
 
     private fun track(connection: OutboundConnection, server: Server): OutboundConnection {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
@@ -20,7 +20,11 @@
  * A connection to a server, used by one request at a time. Bytes that arrive while no request waits close it, because
  * they belong to no request.
  */
-internal class OutboundConnection(private val channel: Channel, val address: String) {
+internal class OutboundConnection(
+    private val channel: Channel,
+    val address: String,
+    private var idleLimitMillis: Long = UNSTATED_IDLE_MILLIS,
+) {
     private sealed interface Item {
         class Head(val response: HttpResponse) : Item
 
@@ -33,7 +37,6 @@
     private var busy = false
     private var keepAlive = true
     private var idleSince = System.nanoTime()
-    private var idleLimitMillis = UNSTATED_IDLE_MILLIS
 
     /** Called once when the connection has closed. */
     var onClosed: () -> Unit = {}
@@ -133,12 +136,12 @@
         }
     }
 
-    private companion object {
-        val KEEP_ALIVE: String = HttpHeaderNames.KEEP_ALIVE.toString()
-        const val MILLIS_PER_SECOND = 1000L
+    companion object {
+        private val KEEP_ALIVE: String = HttpHeaderNames.KEEP_ALIVE.toString()
+        private const val MILLIS_PER_SECOND = 1000L
 
         /** A request needs up to a round trip between regions to arrive; servers state whole seconds. */
-        const val IDLE_MARGIN_MILLIS = 500L
+        private const val IDLE_MARGIN_MILLIS = 500L
 
         /** Servers that state no limit close idle connections after some seconds. */
         const val UNSTATED_IDLE_MILLIS = 2_000L
