Revert the orders that move replicas between the pools

Ruled out: refused orders and requests to replicas that change. Open: why engines run out of memory more often with larger decode pools; the next try begins there.

--- a/core/src/main/kotlin/fireflyhinge/forward/FleetView.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/FleetView.kt
@@ -13,23 +13,12 @@
     /** The record of this VM. */
     val self: VmRecord @Synchronized get() = own
 
-    /**
-     * Raises the beat of this VM and sets whether it takes requests, its [tokens] at replicas, and the replicas that it
-     * has ordered to change their stage.
-     */
+    /** Raises the beat of this VM and sets whether it takes requests, and its [tokens] at replicas. */
     @Synchronized
-    fun beat(ready: Boolean, tokens: Map<String, Long> = emptyMap(), switching: Set<String> = emptySet()) {
-        own = own.copy(beat = own.beat + 1, ready = ready, tokens = tokens, switching = switching)
+    fun beat(ready: Boolean, tokens: Map<String, Long> = emptyMap()) {
+        own = own.copy(beat = own.beat + 1, ready = ready, tokens = tokens)
     }
 
-    /** Replicas that other VMs that run have ordered to change their stage. */
-    @Synchronized
-    fun othersSwitching(): Set<String> = live().flatMapTo(HashSet()) { it.switching }
-
-    /** Whether this VM is the one that decides for the fleet, among those that it knows to take requests. */
-    @Synchronized
-    fun leads(): Boolean = own.ready && live().none { it.ready && it.name < own.name }
-
     /** Tokens that other VMs that run have at each replica. */
     @Synchronized
     fun othersTokens(): Map<String, Long> =
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
@@ -6,9 +6,6 @@
 class ReplicaTable(private val clock: MonotonicClock = MonotonicClock.SYSTEM) {
     private var states = emptyMap<String, ReplicaState>()
 
-    /** Replicas that change their stage. */
-    val moves = StageMoves(clock)
-
     /** Replaces the list of replicas; what is known of those that stay is kept. */
     @Synchronized
     fun replace(replicas: Collection<Replica>) {
@@ -18,14 +15,7 @@
     /** Replicas of [service] at [stage] that may get new requests. */
     @Synchronized
     fun usable(service: String, stage: ReplicaStage): List<ReplicaState> =
-        states.values.filter { serves(it.replica, service, stage) }
-
-    private fun serves(replica: Replica, service: String, stage: ReplicaStage): Boolean =
-        replica.service == service && replica.stage == stage && !replica.leaving && !moves.moving(replica.id)
-
-    /** Replicas of [service], whatever they do. */
-    @Synchronized
-    fun listed(service: String): List<Replica> = states.values.map { it.replica }.filter { it.service == service }
+        states.values.filter { it.replica.service == service && it.replica.stage == stage && !it.replica.leaving }
 
     /** Tokens that this VM has at each replica, without those that have none. */
     @Synchronized
--- a/core/src/main/kotlin/fireflyhinge/forward/VmRecord.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/VmRecord.kt
@@ -9,7 +9,6 @@
  * @property beat raised by the VM itself while it runs.
  * @property ready whether it takes requests.
  * @property tokens tokens of its requests at each replica, by the replica's id.
- * @property switching replicas that it has ordered to change their stage and that serve no requests meanwhile.
  */
 data class VmRecord(
     val name: String,
@@ -20,11 +19,7 @@
     val beat: Long = 0,
     val ready: Boolean = false,
     val tokens: Map<String, Long> = emptyMap(),
-    val switching: Set<String> = emptySet(),
 ) {
-    /** Name of the process; a restart makes another one. */
-    val process: String get() = "$name/$startedAt"
-
     /** Whether this record was made after [other]. */
     fun newerThan(other: VmRecord): Boolean =
         compareValuesBy(this, other, { it.startedAt }, { it.beat }) > 0
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -8,29 +8,23 @@
 import fireflyhinge.forward.FeedState
 import fireflyhinge.forward.FleetView
 import fireflyhinge.forward.ForwardConfig
-import fireflyhinge.forward.PoolPlan
-import fireflyhinge.forward.PoolSizes
 import fireflyhinge.forward.QuotaShares
 import fireflyhinge.forward.RepeatShares
 import fireflyhinge.forward.ReplicaChooser
 import fireflyhinge.forward.ReplicaTable
-import fireflyhinge.forward.RequestMixes
 import fireflyhinge.forward.VmRecord
 import fireflyhinge.gateway.fleet.ControlHandler
 import fireflyhinge.gateway.fleet.Feed
 import fireflyhinge.gateway.fleet.FleetNews
 import fireflyhinge.gateway.fleet.Gossip
 import fireflyhinge.gateway.fleet.LoadNews
-import fireflyhinge.gateway.fleet.OrderRight
 import fireflyhinge.gateway.fleet.PeerClient
-import fireflyhinge.gateway.fleet.PoolBalancer
 import fireflyhinge.gateway.fleet.QuotaLoans
 import fireflyhinge.gateway.forward.ForwardSteps
 import fireflyhinge.gateway.forward.Forwarder
 import fireflyhinge.gateway.forward.PlainForwarder
 import fireflyhinge.gateway.forward.QuotaGate
 import fireflyhinge.gateway.forward.ReplicaCalls
-import fireflyhinge.gateway.forward.ReplicaOrders
 import fireflyhinge.gateway.forward.ReplicaPools
 import fireflyhinge.gateway.forward.ReplicaSender
 import fireflyhinge.gateway.forward.RequestJournal
@@ -55,8 +49,7 @@
     private val domains = FailureDomains(settings.failureDomain, settings.regions)
     private val fleet = FleetView(record(settings))
     private val table = ReplicaTable()
-    private val storeHttp = StoreHttp(HttpCalls(ConnectionPool(io)), settings.store)
-    private val store = dialects.store(storeHttp)
+    private val store = dialects.store(StoreHttp(HttpCalls(ConnectionPool(io)), settings.store))
     private val configFeed = Feed(FeedKind.CONFIGURATION, store, ::configure)
     private val replicaFeed = Feed(FeedKind.REPLICAS, store, ::list)
     private val feeds = listOf(configFeed, replicaFeed)
@@ -68,20 +61,9 @@
         RepeatShares(settings.repeats) {
             if (fleetKnown()) fleet.sharing().size else maxOf(fleet.sharing().size, UNKNOWN_VMS)
         }
-    private val mixes = RequestMixes()
-    private val pools = ReplicaPools(ReplicaChooser(table, domains, ::memoryOf), repeats, mixes)
+    private val pools = ReplicaPools(table, ReplicaChooser(table, domains, ::memoryOf), repeats)
     private val replicaPool = ConnectionPool(io)
-    private val sender = ReplicaSender(replicaPool, dialects.replicas.requests)
-    private val replicaCalls = ReplicaCalls(io, HttpCalls(replicaPool), dialects.replicas.places)
-    private val balancer =
-        PoolBalancer(
-            services = { config?.services?.values.orEmpty() },
-            sizes = PoolSizes(table, PoolPlan(domains), mixes),
-            moves = table.moves,
-            right = OrderRight(fleet.self.process, settings.orderPauseMillis, dialects.claims(storeHttp)),
-            orders = ReplicaOrders(HttpCalls(replicaPool), dialects.replicas),
-            gossip = gossip,
-        )
+    private val sender = ReplicaSender(replicaPool, dialects.replicas)
     private val startedAt = nowMillis()
 
     @Volatile
@@ -97,12 +79,12 @@
         Forwarder(
             config = { config },
             callers = dialects.callers,
-            replicas = dialects.replicas.requests,
+            replicas = dialects.replicas,
             steps =
             ForwardSteps(
                 quota = QuotaGate(shares, QuotaLoans(fleet, domains, peers), io.scope),
                 plain = PlainForwarder(pools, sender),
-                streams = StreamForwarder(pools, sender, replicaCalls),
+                streams = StreamForwarder(pools, sender, ReplicaCalls(io, HttpCalls(replicaPool), dialects.places)),
             ),
             journal = RequestJournal(registry),
         )
@@ -120,7 +102,6 @@
         io.scope.launch { findFleet() }
         feeds.forEach { feed -> io.scope.launch { feed.run() } }
         io.scope.launch { gossip.run() }
-        io.scope.launch { balancer.run() }
         io.scope.launch { LoadNews(io.scope, news, domains, peers, table).run() }
         log.atInfo().addKeyValue("vm", settings.vm).addKeyValue("front", settings.front).log("started")
     }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/GatewaySettings.kt
@@ -17,7 +17,6 @@
  * @property store address of the platform's store.
  * @property firstStart whether the whole system starts for the first time.
  * @property stopMillis time from SIGTERM until the process is killed.
- * @property orderPauseMillis least time between orders of two VMs to replicas.
  */
 data class GatewaySettings(
     val vm: String,
@@ -30,7 +29,6 @@
     val store: String,
     val firstStart: Boolean,
     val stopMillis: Long,
-    val orderPauseMillis: Long,
     val quota: QuotaBounds = QuotaBounds(),
     val repeats: RepeatBounds = RepeatBounds(),
 )
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
@@ -26,9 +26,6 @@
     var answered = 0
         private set
 
-    /** Whether this VM decides for the fleet; not before it has heard of others, or has had time to. */
-    val leads: Boolean get() = answered > 0 && fleet.leads()
-
     /** Exchanges until cancelled. */
     suspend fun run() {
         while (true) {
@@ -46,7 +43,7 @@
         partner()?.let { exchange(it) }
     }
 
-    /** Tells the state of this VM to others at once, when they must not learn of a change late. */
+    /** Tells the state of this VM to others at once; used when it stops to take requests. */
     suspend fun announce() {
         news.beat()
         coroutineScope { fleet.live().take(MOST_TOLD).forEach { launch { exchange(it.control) } } }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerMessages.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerMessages.kt
@@ -65,7 +65,6 @@
             .put("beat", vm.beat)
             .put("ready", vm.ready)
             .also { node -> vm.tokens.forEach { (id, count) -> node.withObject("/tokens").put(id, count) } }
-            .also { node -> vm.switching.forEach { node.withArray("/switching").add(it) } }
 
     private fun vm(node: JsonNode) =
         VmRecord(
@@ -77,6 +76,5 @@
             beat = node.path("beat").asLong(),
             ready = node.path("ready").asBoolean(),
             tokens = node.path("tokens").properties().associate { it.key to it.value.asLong() },
-            switching = node.path("switching").mapTo(HashSet()) { it.asText() },
         )
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaPools.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaPools.kt
@@ -2,7 +2,7 @@
 
 import fireflyhinge.forward.RepeatShares
 import fireflyhinge.forward.ReplicaChooser
-import fireflyhinge.forward.RequestMixes
+import fireflyhinge.forward.ReplicaTable
 
-/** What is shared by all requests when replicas are chosen for them. */
-internal class ReplicaPools(val chooser: ReplicaChooser, val repeats: RepeatShares, val mixes: RequestMixes)
+/** What is needed to choose replicas and to repeat sends. */
+internal class ReplicaPools(val table: ReplicaTable, val chooser: ReplicaChooser, val repeats: RepeatShares)
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -157,15 +157,10 @@
         attempt.sending()
         val another = attempt.admission.route.resumable && tries.sends + 1 < attempt.admission.route.maxAttempts
         val moveOn: (suspend () -> Boolean)? = if (another) ({ secure(attempt, tries, answer) }) else null
-        val began = nowMillis()
         val outcome = DecodeSession(sender, attempt, tries.order, answer, moveOn).run(state, call)
         attempt.trail += "decode $id $outcome"
         return when (outcome) {
-            is DecodeOutcome.Whole -> {
-                state.answered(good = true)
-                pools.mixes.ended(attempt.service, attempt.facts, nowMillis() - began)
-                Decoded.Ended(ForwardResult.Streamed)
-            }
+            is DecodeOutcome.Whole -> Decoded.Ended(ForwardResult.Streamed).also { state.answered(good = true) }
             is DecodeOutcome.Other -> other(tries, state, outcome, another)
             is DecodeOutcome.NotRun -> notRun(attempt, tries, state, outcome, cache != null)
             is DecodeOutcome.NotSent -> {
