--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
@@ -54,6 +54,7 @@
         while (true) {
             val head = connection.head()
             val answered = dialect.reply(head.status().code(), head.headers()).requestId
+            if (answered == null) logWithoutId(id, connection.address, head)
             if (answered == null || answered == id) return head
             // The late answer to an earlier request on this connection: it is nobody's any more.
             log.atInfo().addKeyValue("request", id).addKeyValue("answered", answered).log("passed over a stray answer")
@@ -61,6 +62,16 @@
         }
     }
 
+    private fun logWithoutId(id: String?, address: String, head: HttpResponse) {
+        log
+            .atInfo()
+            .addKeyValue("request", id)
+            .addKeyValue("replica", address)
+            .addKeyValue("head", "${head.protocolVersion()} ${head.status()}")
+            .addKeyValue("headers", head.headers().names())
+            .log("an answer names no request")
+    }
+
     /** The rest of an answer that began with [head]. */
     suspend fun read(connection: OutboundConnection, head: HttpResponse): SendResult.Answered {
         val body = ByteArrayOutputStream()
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.channels.ClosedReceiveChannelException
+import org.slf4j.LoggerFactory
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 import kotlinx.coroutines.channels.Channel as Queue
@@ -108,6 +109,7 @@
 
         override fun channelRead0(ctx: ChannelHandlerContext, message: HttpObject) {
             if (!busy || message.decoderResult().isFailure) {
+                logUnexpected(message)
                 ctx.close()
                 inbox.close(IOException("the server sent bytes that are no answer"))
                 return
@@ -119,6 +121,16 @@
             if (message is HttpContent && !skippingInterim) content(message)
         }
 
+        private fun logUnexpected(message: HttpObject) {
+            log
+                .atInfo()
+                .addKeyValue("server", address)
+                .addKeyValue("busy", busy)
+                .addKeyValue("message", (message as? HttpResponse)?.let { "${it.protocolVersion()} ${it.status()}" })
+                .addKeyValue("reason", message.decoderResult().cause()?.message)
+                .log("unexpected bytes from a server; the connection is closed")
+        }
+
         private fun content(message: HttpContent) {
             val size = message.content().readableBytes()
             if (size > 0) inbox.trySend(Item.Body(ByteArray(size).also { message.content().readBytes(it) }))
@@ -137,6 +149,7 @@
     }
 
     companion object {
+        private val log = LoggerFactory.getLogger(OutboundConnection::class.java)
         private val KEEP_ALIVE: String = HttpHeaderNames.KEEP_ALIVE.toString()
         private const val MILLIS_PER_SECOND = 1000L
 
