Take an answer for a replica's only if it names the request and bears the stamp

Callers got a success without the replica's stamp: bytes that are no answer. Cause: the decoder takes a header line without a colon, another protocol's name and other versions, and the sender accepted every head that did not name another request. So a spoiled head with status 200 became the caller's answer.

The connection now asks of each head whose answer it is. Own: the id is that of the request, and a success bears the stamp. Of an earlier request: passed over, as before, but at the connection, so that nothing of it is queued. Anything else ends the connection; the request counts as sent and lost.

AnswerIdentityTest#onlyAnAnswerThatNamesTheRequestAndItsReplicaIsASuccess failed before (200, now 502 in five cases).

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
@@ -2,6 +2,7 @@
 
 import fireflyhinge.forward.PrefilledCache
 import fireflyhinge.forward.ReplicaState
+import fireflyhinge.gateway.http.AnswerMatch
 import fireflyhinge.gateway.http.CallerRequest
 import fireflyhinge.gateway.http.ConnectFailed
 import fireflyhinge.gateway.http.ConnectionPool
@@ -9,8 +10,8 @@
 import fireflyhinge.gateway.http.OutboundRequests
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
 import kotlinx.coroutines.withTimeoutOrNull
-import org.slf4j.LoggerFactory
 import java.io.ByteArrayOutputStream
 import java.io.IOException
 
@@ -49,27 +50,22 @@
     /** Writes [request] on [connection] and returns the head of its answer. */
     suspend fun begin(connection: OutboundConnection, request: CallerRequest, call: ReplicaCall): HttpResponse {
         val headers = dialect.request(request.headers, call)
-        connection.send(OutboundRequests.of(request.method, request.uri, headers, request.body))
         val id = dialect.requestId(request.headers)
-        while (true) {
-            val head = connection.head()
-            val answered = dialect.reply(head.status().code(), head.headers()).requestId
-            if (answered == null) logWithoutId(id, connection.address, head)
-            if (answered == null || answered == id) return head
-            // The late answer to an earlier request on this connection: it is nobody's any more.
-            log.atInfo().addKeyValue("request", id).addKeyValue("answered", answered).log("passed over a stray answer")
-            while (connection.body() != null) Unit
-        }
+        val sent = OutboundRequests.of(request.method, request.uri, headers, request.body)
+        connection.send(sent) { head -> match(head, id, call) }
+        return connection.head()
     }
 
-    private fun logWithoutId(id: String?, address: String, head: HttpResponse) {
-        log
-            .atInfo()
-            .addKeyValue("request", id)
-            .addKeyValue("replica", address)
-            .addKeyValue("head", "${head.protocolVersion()} ${head.status()}")
-            .addKeyValue("headers", head.headers().names())
-            .log("an answer names no request")
+    private fun match(head: HttpResponse, id: String?, call: ReplicaCall): AnswerMatch {
+        val facts = dialect.reply(head.status().code(), head.headers())
+        val success = head.status().codeClass() == HttpStatusClass.SUCCESS
+        return when {
+            facts.requestId == null -> AnswerMatch.UNIDENTIFIED
+            facts.requestId != id -> AnswerMatch.EARLIER
+            // Only the system sees the answer to a prefill.
+            success && !facts.stamped && !call.prefill -> AnswerMatch.UNIDENTIFIED
+            else -> AnswerMatch.OWN
+        }
     }
 
     /** The rest of an answer that began with [head]. */
@@ -108,8 +104,4 @@
 
     /** The KV cache that a prefill at [address] left, or null if [body] does not name one. */
     fun cache(address: String, body: ByteArray): PrefilledCache? = dialect.cache(address, body)
-
-    private companion object {
-        val log = LoggerFactory.getLogger(ReplicaSender::class.java)
-    }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpCalls.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpCalls.kt
@@ -7,8 +7,14 @@
 import java.io.ByteArrayOutputStream
 import java.io.IOException
 
-/** The system's own calls to servers: other VMs, the platform's store, and replicas. */
-internal class HttpCalls(private val pool: ConnectionPool) {
+/**
+ * The system's own calls to servers: other VMs, the platform's store, and replicas. [answers] tells their answers from
+ * those to requests that were sent on the same connections.
+ */
+internal class HttpCalls(
+    private val pool: ConnectionPool,
+    private val answers: AnswerMatcher = { AnswerMatch.OWN },
+) {
     /**
      * Makes a call to [address] and reads the whole answer. Throws [IOException] if it does not come within [millis]. A
      * connection on which a call failed is not used again.
@@ -28,7 +34,7 @@
                 withTimeoutOrNull(millis) {
                     val opened = pool.acquire(address).also { connection = it }
                     headers.set(HttpHeaderNames.HOST, address)
-                    opened.send(OutboundRequests.of(method, path, headers, body))
+                    opened.send(OutboundRequests.of(method, path, headers, body), answers = answers)
                     read(opened)
                 }
             whole = reply != null
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.channels.ClosedReceiveChannelException
 import org.slf4j.LoggerFactory
@@ -18,8 +19,8 @@
 import kotlinx.coroutines.channels.Channel as Queue
 
 /**
- * A connection to a server, used by one request at a time. Bytes that arrive while no request waits close it, because
- * they belong to no request.
+ * A connection to a server, used by one request at a time. It hands out the answer to that request only: late answers
+ * to earlier requests are passed over, and bytes that answer no request close it.
  */
 internal class OutboundConnection(
     private val channel: Channel,
@@ -35,6 +36,7 @@
     }
 
     private val inbox = Queue<Item>(Queue.UNLIMITED)
+    private var matcher: AnswerMatcher = { AnswerMatch.UNIDENTIFIED }
     private var busy = false
     private var keepAlive = true
     private var idleSince = System.nanoTime()
@@ -51,23 +53,19 @@
         channel.closeFuture().addListener { onClosed() }
     }
 
-    /** Writes [request]. */
-    suspend fun send(request: FullHttpRequest) {
+    /** Writes [request], whose id is [requestId] if it has one. [answers] tells which answer is its own. */
+    suspend fun send(request: FullHttpRequest, answers: AnswerMatcher) {
+        matcher = answers
         busy = true
         channel.writeAndFlush(request).done()
     }
 
-    /** The head of the next answer; interim answers are passed over. Throws [IOException] if none comes. */
-    suspend fun head(): HttpResponse {
-        while (true) {
-            val item = next()
-            if (item is Item.Head && item.response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
-                keepAlive = HttpUtil.isKeepAlive(item.response)
-                noteIdleLimit(item.response)
-                return item.response
-            }
+    /** The head of the answer. Throws [IOException] if none comes. */
+    suspend fun head(): HttpResponse =
+        when (val item = next()) {
+            is Item.Head -> item.response
+            else -> throw IOException("an answer began without a head")
         }
-    }
 
     /** The next bytes of the answer's body, or null after its end. Throws [IOException] if the answer breaks off. */
     suspend fun body(): ByteArray? =
@@ -105,30 +103,40 @@
     }
 
     private inner class Reader : SimpleChannelInboundHandler<HttpObject>() {
-        private var skippingInterim = false
+        private var passingOver = false
 
         override fun channelRead0(ctx: ChannelHandlerContext, message: HttpObject) {
-            if (!busy || message.decoderResult().isFailure) {
-                logUnexpected(message)
-                ctx.close()
-                inbox.close(IOException("the server sent bytes that are no answer"))
-                return
+            val fault = message.decoderResult().cause()
+            if (fault != null) return breakOff(ctx, fault.message.orEmpty())
+            if (!busy) return breakOff(ctx, "bytes that belong to no request")
+            if (message is HttpResponse && !begin(ctx, message)) return
+            if (message is HttpContent && !passingOver) content(message)
+        }
+
+        /** Whether the connection is still good after [head]. */
+        private fun begin(ctx: ChannelHandlerContext, head: HttpResponse): Boolean {
+            passingOver = true
+            if (head.protocolVersion() !in VERSIONS) {
+                breakOff(ctx, "another protocol: ${head.protocolVersion()}")
+                return false
             }
-            if (message is HttpResponse) {
-                skippingInterim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
-                if (!skippingInterim) inbox.trySend(Item.Head(message))
+            if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) return true
+            when (matcher(head)) {
+                AnswerMatch.OWN -> take(head)
+                AnswerMatch.EARLIER -> log.atInfo().addKeyValue("server", address).log("passed over a stray answer")
+                AnswerMatch.UNIDENTIFIED -> {
+                    breakOff(ctx, "an answer that names no request: ${head.status()} ${head.headers().names()}")
+                    return false
+                }
             }
-            if (message is HttpContent && !skippingInterim) content(message)
+            return true
         }
 
-        private fun logUnexpected(message: HttpObject) {
-            log
-                .atInfo()
-                .addKeyValue("server", address)
-                .addKeyValue("busy", busy)
-                .addKeyValue("message", (message as? HttpResponse)?.let { "${it.protocolVersion()} ${it.status()}" })
-                .addKeyValue("reason", message.decoderResult().cause()?.message)
-                .log("unexpected bytes from a server; the connection is closed")
+        private fun take(head: HttpResponse) {
+            passingOver = false
+            keepAlive = HttpUtil.isKeepAlive(head)
+            noteIdleLimit(head)
+            inbox.trySend(Item.Head(head))
         }
 
         private fun content(message: HttpContent) {
@@ -137,6 +145,16 @@
             if (message is LastHttpContent) inbox.trySend(Item.End)
         }
 
+        private fun breakOff(ctx: ChannelHandlerContext, reason: String) {
+            log
+                .atInfo()
+                .addKeyValue("server", address)
+                .addKeyValue("reason", reason)
+                .log("unexpected bytes from a server; the connection is closed")
+            inbox.close(IOException("the server sent bytes that are no answer"))
+            ctx.close()
+        }
+
         // A reset comes before the decoder ends an answer without a length, so such an answer is not taken for whole.
         override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
             inbox.close(IOException("the connection broke: ${cause.message}"))
@@ -151,6 +169,7 @@
     companion object {
         private val log = LoggerFactory.getLogger(OutboundConnection::class.java)
         private val KEEP_ALIVE: String = HttpHeaderNames.KEEP_ALIVE.toString()
+        private val VERSIONS = setOf(HttpVersion.HTTP_1_0, HttpVersion.HTTP_1_1)
         private const val MILLIS_PER_SECOND = 1000L
 
         /** A request needs up to a round trip between regions to arrive; servers state whole seconds. */
