Pass over answers to requests in the system's own calls to replicas

Calls that reserve places and free KV caches share connections with callers' requests and took the next answer for theirs. A late second answer of a replica was read as the reservation's, and the reservation's answer as that of the next request: a caller got 502 although its run was sound. AnswerIdentityTest#aSecondAnswerIsNotTakenForAReservation failed before with 502.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -64,6 +64,7 @@
     private val pools = ReplicaPools(table, ReplicaChooser(table, domains, ::memoryOf), repeats)
     private val replicaPool = ConnectionPool(io)
     private val sender = ReplicaSender(replicaPool, dialects.replicas)
+    private val replicaCalls = ReplicaCalls(io, replicaPool, dialects.places, dialects.replicas)
     private val startedAt = nowMillis()
 
     @Volatile
@@ -84,7 +85,7 @@
             ForwardSteps(
                 quota = QuotaGate(shares, QuotaLoans(fleet, domains, peers), io.scope),
                 plain = PlainForwarder(pools, sender),
-                streams = StreamForwarder(pools, sender, ReplicaCalls(io, HttpCalls(replicaPool), dialects.places)),
+                streams = StreamForwarder(pools, sender, replicaCalls),
             ),
             journal = RequestJournal(registry),
         )
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaCalls.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaCalls.kt
@@ -2,10 +2,13 @@
 
 import fireflyhinge.forward.PrefilledCache
 import fireflyhinge.forward.ReplicaState
+import fireflyhinge.gateway.http.AnswerMatch
+import fireflyhinge.gateway.http.ConnectionPool
 import fireflyhinge.gateway.http.HttpCalls
 import fireflyhinge.gateway.http.Io
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 import java.io.IOException
@@ -13,9 +16,12 @@
 /** Calls to replicas that carry no request of a caller: places and KV caches are reserved and given up. */
 internal class ReplicaCalls(
     private val io: Io,
-    private val calls: HttpCalls,
+    pool: ConnectionPool,
     private val dialect: PlaceDialect,
+    private val replies: ReplicaDialect,
 ) {
+    private val calls = HttpCalls(pool, ::match)
+
     /** Asks the replica to keep a place with memory for [tokens]. */
     suspend fun reserve(state: ReplicaState, tokens: Int): Reservation {
         val (path, body) = dialect.reserve(tokens, RESERVATION_MILLIS)
@@ -47,6 +53,12 @@
     /** Frees a KV cache that nobody will fetch. */
     fun release(cache: PrefilledCache) = forget(cache.address, dialect.releasePath(cache), DefaultHttpHeaders())
 
+    /** Replicas echo the ids of callers' requests only, so an answer with an id is none to these calls. */
+    private fun match(head: HttpResponse): AnswerMatch {
+        val facts = replies.reply(head.status().code(), head.headers())
+        return if (facts.requestId == null) AnswerMatch.OWN else AnswerMatch.EARLIER
+    }
+
     /** Nobody waits for the answer; replicas end by themselves what is not given up. */
     private fun forget(address: String, path: String, headers: HttpHeaders) {
         io.scope.launch {
