Decode no bytes of a connection on which no answer is expected

An incomplete head behind an answer stayed in the decoder of a kept connection and was joined to the head of the next answer: the caller of a request that had failed with 500 got a 200 with the replica's id and stamp. The reader behind the decoder sees whole heads only. The decoder itself now drops and reports what comes behind the end of an answer. It also asks the request that waits whether its answer has a body; the codec used before counts answers, which a second answer puts out of step. AnswerIdentityTest#bytesBehindAnAnswerAreNoPartOfTheNextOne failed before (200, now 500 on a new connection).

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
@@ -5,7 +5,7 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 import java.net.ConnectException
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
@@ -73,18 +73,13 @@
 
     private class Codec : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
-            channel.pipeline().addLast(HttpClientCodec(MOST_LINE, MOST_HEADERS, MOST_CHUNK))
+            channel.pipeline().addLast(AnswerDecoder(), HttpRequestEncoder())
         }
     }
 
     private companion object {
         /** Ten round trips between regions, so that a silent server costs a request a third of its objective. */
         const val CONNECT_MILLIS = 350
-
-        /** Bytes of a status line, of all headers, and of a piece of a body. */
-        const val MOST_LINE = 4_096
-        const val MOST_HEADERS = 32_768
-        const val MOST_CHUNK = 16_384
     }
 }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
@@ -35,9 +35,9 @@
         data object End : Item
     }
 
+    private val decoder = channel.pipeline().get(AnswerDecoder::class.java)
     private val inbox = Queue<Item>(Queue.UNLIMITED)
     private var matcher: AnswerMatcher = { AnswerMatch.UNIDENTIFIED }
-    private var busy = false
     private var keepAlive = true
     private var idleSince = System.nanoTime()
 
@@ -56,7 +56,7 @@
     /** Writes [request], whose id is [requestId] if it has one. [answers] tells which answer is its own. */
     suspend fun send(request: FullHttpRequest, answers: AnswerMatcher) {
         matcher = answers
-        busy = true
+        decoder.expect(request.method())
         channel.writeAndFlush(request).done()
     }
 
@@ -77,7 +77,6 @@
 
     /** Ends the use of the connection after a whole answer. Returns whether it can be used again. */
     fun release(): Boolean {
-        busy = false
         idleSince = System.nanoTime()
         val clean = keepAlive && channel.isActive && inbox.tryReceive().getOrNull() == null
         if (!clean) close()
@@ -108,7 +107,6 @@
         override fun channelRead0(ctx: ChannelHandlerContext, message: HttpObject) {
             val fault = message.decoderResult().cause()
             if (fault != null) return breakOff(ctx, fault.message.orEmpty())
-            if (!busy) return breakOff(ctx, "bytes that belong to no request")
             if (message is HttpResponse && !begin(ctx, message)) return
             if (message is HttpContent && !passingOver) content(message)
         }
@@ -142,7 +140,10 @@
         private fun content(message: HttpContent) {
             val size = message.content().readableBytes()
             if (size > 0) inbox.trySend(Item.Body(ByteArray(size).also { message.content().readBytes(it) }))
-            if (message is LastHttpContent) inbox.trySend(Item.End)
+            if (message is LastHttpContent) {
+                decoder.ended()
+                inbox.trySend(Item.End)
+            }
         }
 
         private fun breakOff(ctx: ChannelHandlerContext, reason: String) {
@@ -155,6 +156,10 @@
             ctx.close()
         }
 
+        override fun userEventTriggered(ctx: ChannelHandlerContext, event: Any) {
+            if (event is UnexpectedBytes) breakOff(ctx, event.reason) else super.userEventTriggered(ctx, event)
+        }
+
         // A reset comes before the decoder ends an answer without a length, so such an answer is not taken for whole.
         override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
             inbox.close(IOException("the connection broke: ${cause.message}"))
