Send a request to a replica a second time on another connection only

A request that a replica rejected because its KV cache had lapsed is sent there again, with the same id. A late second copy of the rejection was read as the answer to that run: the caller got 503, "not run", while the replica ran the request. The id cannot tell the two apart, so a connection that has carried a request is not taken for its repeat. AnswerIdentityTest#aSecondAnswerIsNotTakenForThatOfARepeat failed before (503, now 200).

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
@@ -33,7 +33,7 @@
     /** Sends the request to [state]'s replica and hands the events on. */
     suspend fun run(state: ReplicaState, call: ReplicaCall): DecodeOutcome =
         try {
-            sender.use(state, attempt.facts.expectedMemory) { connection ->
+            sender.use(state, attempt.request, attempt.facts.expectedMemory) { connection ->
                 watched(connection) {
                     val head = sender.begin(connection, attempt.request, call)
                     begun = true
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
@@ -32,7 +32,7 @@
         val result =
             withTimeoutOrNull(patienceMillis) {
                 try {
-                    use(state, tokens) { connection ->
+                    use(state, request, tokens) { connection ->
                         sent = true
                         val head = begin(connection, request, call)
                         Reading.Whole(read(connection, head))
@@ -52,7 +52,7 @@
         val headers = dialect.request(request.headers, call)
         val id = dialect.requestId(request.headers)
         val sent = OutboundRequests.of(request.method, request.uri, headers, request.body)
-        connection.send(sent) { head -> match(head, id, call) }
+        connection.send(sent, id) { head -> match(head, id, call) }
         return connection.head()
     }
 
@@ -77,11 +77,12 @@
     }
 
     /**
-     * Runs [block] with a connection to the replica. The connection is kept if [block] returns [Reading.Whole], and
-     * closed otherwise, which ends work that the replica may still do.
+     * Runs [block] with a connection to the replica that has not carried [request]. The connection is kept if [block]
+     * returns [Reading.Whole], and closed otherwise, which ends work that the replica may still do.
      */
     suspend fun <T> use(
         state: ReplicaState,
+        request: CallerRequest,
         tokens: Int,
         block: suspend (OutboundConnection) -> Reading<T>,
     ): T {
@@ -89,7 +90,7 @@
         var connection: OutboundConnection? = null
         var whole = false
         try {
-            connection = pool.acquire(state.replica.address)
+            connection = pool.acquire(state.replica.address, dialect.requestId(request.headers))
             val result = block(connection)
             whole = result is Reading.Whole
             return result.value
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
@@ -18,15 +18,23 @@
 ) {
     private class Server {
         val idle = ArrayDeque<OutboundConnection>()
+
+        fun takeIdle(requestId: String?): OutboundConnection? {
+            val index = idle.indexOfLast { requestId == null || !it.hasCarried(requestId) }
+            return if (index < 0) null else idle.removeAt(index)
+        }
     }
 
     private val servers = ConcurrentHashMap<String, Server>()
 
-    /** A connection to [address]: the one used last, or a new one. Throws [ConnectFailed]. */
-    suspend fun acquire(address: String): OutboundConnection {
+    /**
+     * A connection to [address]: the one used last, or a new one. It has carried no request [requestId], since a second
+     * answer to that request could not be told from the answer to its repeat. Throws [ConnectFailed].
+     */
+    suspend fun acquire(address: String, requestId: String? = null): OutboundConnection {
         val server = servers.computeIfAbsent(address) { Server() }
         while (true) {
-            val kept = synchronized(server) { server.idle.removeLastOrNull() } ?: break
+            val kept = synchronized(server) { server.takeIdle(requestId) } ?: break
             if (kept.reusable) return kept
             kept.close()
         }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
@@ -37,6 +37,7 @@
 
     private val decoder = channel.pipeline().get(AnswerDecoder::class.java)
     private val inbox = Queue<Item>(Queue.UNLIMITED)
+    private val carried = ArrayDeque<String>()
     private var matcher: AnswerMatcher = { AnswerMatch.UNIDENTIFIED }
     private var keepAlive = true
     private var idleSince = System.nanoTime()
@@ -54,12 +55,21 @@
     }
 
     /** Writes [request], whose id is [requestId] if it has one. [answers] tells which answer is its own. */
-    suspend fun send(request: FullHttpRequest, answers: AnswerMatcher) {
+    suspend fun send(request: FullHttpRequest, requestId: String? = null, answers: AnswerMatcher) {
         matcher = answers
+        requestId?.let(::carry)
         decoder.expect(request.method())
         channel.writeAndFlush(request).done()
     }
 
+    /** Whether request [requestId] was sent on this connection. */
+    fun hasCarried(requestId: String): Boolean = requestId in carried
+
+    private fun carry(requestId: String) {
+        carried += requestId
+        if (carried.size > MOST_REMEMBERED) carried.removeFirst()
+    }
+
     /** The head of the answer. Throws [IOException] if none comes. */
     suspend fun head(): HttpResponse =
         when (val item = next()) {
@@ -177,6 +187,9 @@
         private val VERSIONS = setOf(HttpVersion.HTTP_1_0, HttpVersion.HTTP_1_1)
         private const val MILLIS_PER_SECOND = 1000L
 
+        /** Requests whose second answers may still come; servers answer twice at the next request at the earliest. */
+        private const val MOST_REMEMBERED = 64
+
         /** A request needs up to a round trip between regions to arrive; servers state whole seconds. */
         private const val IDLE_MARGIN_MILLIS = 500L
 
