Take no answer for whole whose connection this VM closed

A replica may answer without a length and end the answer with its connection. The decoder ends such an answer at any close, also when the VM gives up a silent run whose request goes on elsewhere: the caller got the first part of a stream with the mark of a whole one. The end of an answer now counts only as long as the VM has not closed the connection itself. AnswerIdentityTest#aStreamThatTheVmEndsIsNotTakenForWhole failed before (2 of 4 events, "whole"), and passes.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
@@ -93,8 +93,9 @@
         return clean
     }
 
-    /** Closes the connection, which ends work at the server. */
+    /** Closes the connection, which ends work at the server. An answer without a length is not whole then. */
     fun close() {
+        inbox.close(IOException("the connection was closed by this VM"))
         channel.close()
     }
 
