Bound the bytes of a server's answer

A server may send bytes without end. A body was collected until the request's time was over, whatever its size (two of them fill the heap of a VM with 110 MB), and the caller waited as long; the same for interim answers, for an answer to an earlier request, and for an event that never ends. Heads were bounded by the decoder already. Bodies that are kept whole are bounded to 4 MB each and 14 MB together, events to 200 kB, and what comes before the head of the expected answer to 1 MB; a server that sends faster than its bytes are taken is not read meanwhile. Beyond a bound the connection is closed and the request counts as sent and lost.

--- a/core/src/main/kotlin/fireflyhinge/forward/EventSplitter.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/EventSplitter.kt
@@ -15,6 +15,9 @@
     /** Whether bytes of an event that is not whole are held. */
     val partial: Boolean get() = pending.size() > 0
 
+    /** Whether an event has become too long to be one; the rest of the body must not be added. */
+    val oversized: Boolean get() = pending.size() > MOST_EVENT_BYTES
+
     /** Adds [bytes] and returns the events that are whole now. */
     fun add(bytes: ByteArray): List<StreamEvent> {
         val events = ArrayList<StreamEvent>()
@@ -54,5 +57,8 @@
         /** Characters of a line that are kept to read an id; longer lines are data. */
         const val MOST_ID_LINE = 64
         const val LONGEST_EMPTY_LINE = 2
+
+        /** Bytes of an event; a hundred times the longest that the platform's sheets state (2,000 bytes). */
+        const val MOST_EVENT_BYTES = 200_000
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
@@ -91,6 +91,7 @@
                 answer.send(event.bytes)
                 attempt.handedOn()
             }
+            if (events.oversized) return Reading.Partial(DecodeOutcome.Lost("an event without end"))
         }
     }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
@@ -12,7 +12,6 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
 import kotlinx.coroutines.withTimeoutOrNull
-import java.io.ByteArrayOutputStream
 import java.io.IOException
 
 /** Sends requests to replicas, one on a connection at a time. */
@@ -70,10 +69,9 @@
 
     /** The rest of an answer that began with [head]. */
     suspend fun read(connection: OutboundConnection, head: HttpResponse): SendResult.Answered {
-        val body = ByteArrayOutputStream()
-        while (true) body.writeBytes(connection.body() ?: break)
+        val body = connection.wholeBody()
         val facts = dialect.reply(head.status().code(), head.headers())
-        return SendResult.Answered(head.status().code(), head.headers(), facts, body.toByteArray())
+        return SendResult.Answered(head.status().code(), head.headers(), facts, body)
     }
 
     /**
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/AnswerDecoder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/AnswerDecoder.kt
@@ -14,11 +14,20 @@
 internal class AnswerDecoder : HttpResponseDecoder(config) {
     private var expecting = false
     private var bodiless = false
+    private var passedOver = 0L
+    private var begun = false
 
     /** A request with [method] is about to be sent. */
     fun expect(method: HttpMethod) {
         expecting = true
         bodiless = method == HttpMethod.HEAD
+        begun = false
+        passedOver = 0
+    }
+
+    /** The head of the expected answer was decoded. */
+    fun begun() {
+        begun = true
     }
 
     /** The expected answer was decoded to its end. */
@@ -27,9 +36,16 @@
     }
 
     override fun decode(ctx: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
-        if (expecting) return super.decode(ctx, buffer, out)
+        if (!expecting) return drop(ctx, buffer, "bytes that belong to no request")
+        val before = buffer.readableBytes()
+        super.decode(ctx, buffer, out)
+        if (!begun) passedOver += before - buffer.readableBytes()
+        if (passedOver > MOST_PASSED_OVER) drop(ctx, buffer, "no answer in $passedOver bytes")
+    }
+
+    private fun drop(ctx: ChannelHandlerContext, buffer: ByteBuf, reason: String) {
         buffer.skipBytes(buffer.readableBytes())
-        ctx.fireUserEventTriggered(UnexpectedBytes("bytes that belong to no request"))
+        ctx.fireUserEventTriggered(UnexpectedBytes(reason))
     }
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = bodiless || super.isContentAlwaysEmpty(message)
@@ -40,6 +56,9 @@
         const val MOST_HEADERS = 32_768
         const val MOST_CHUNK = 16_384
 
+        /** Bytes of heads and of answers to earlier requests before the answer; the longest stream has 260 kB. */
+        const val MOST_PASSED_OVER = 1L * 1024 * 1024
+
         val config: HttpDecoderConfig =
             HttpDecoderConfig()
                 .setMaxInitialLineLength(MOST_LINE)
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
@@ -9,6 +9,7 @@
 import java.net.ConnectException
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
 
 /** Connections to servers, opened when needed and kept for the next request. Thread-safe. */
 internal class ConnectionPool(
@@ -25,6 +26,7 @@
         }
     }
 
+    private val memory = MemoryLimit(AtomicLong(), MOST_HELD_BYTES)
     private val servers = ConcurrentHashMap<String, Server>()
 
     /**
@@ -66,7 +68,7 @@
             // Cancelled while connecting: nobody would close the connection.
             if (!future.isSuccess) future.channel().close()
         }
-        return track(OutboundConnection(future.channel(), address, unstatedIdleMillis), server)
+        return track(OutboundConnection(future.channel(), address, memory, unstatedIdleMillis), server)
     }
 
     private fun track(connection: OutboundConnection, server: Server): OutboundConnection {
@@ -88,6 +90,9 @@
     private companion object {
         /** Ten round trips between regions, so that a silent server costs a request a third of its objective. */
         const val CONNECT_MILLIS = 350
+
+        /** Bytes of all answers that are being read whole; an eighth of the smallest VM's heap. */
+        const val MOST_HELD_BYTES = 14L * 1024 * 1024
     }
 }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpCalls.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpCalls.kt
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import kotlinx.coroutines.withTimeoutOrNull
-import java.io.ByteArrayOutputStream
 import java.io.IOException
 
 /**
@@ -46,8 +45,6 @@
 
     private suspend fun read(connection: OutboundConnection): HttpReply {
         val head = connection.head()
-        val body = ByteArrayOutputStream()
-        while (true) body.writeBytes(connection.body() ?: break)
-        return HttpReply(head.status().code(), body.toByteArray())
+        return HttpReply(head.status().code(), connection.wholeBody())
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.channels.ClosedReceiveChannelException
 import org.slf4j.LoggerFactory
+import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 import kotlinx.coroutines.channels.Channel as Queue
@@ -25,6 +26,7 @@
 internal class OutboundConnection(
     private val channel: Channel,
     val address: String,
+    private val memory: MemoryLimit,
     private var idleLimitMillis: Long = UNSTATED_IDLE_MILLIS,
 ) {
     private sealed interface Item {
@@ -37,7 +39,8 @@
 
     private val decoder = channel.pipeline().get(AnswerDecoder::class.java)
     private val inbox = Queue<Item>(Queue.UNLIMITED)
-    private val carried = ArrayDeque<String>()
+    private var queuedBytes = 0
+    private val carried = RecentIds()
     private var matcher: AnswerMatcher = { AnswerMatch.UNIDENTIFIED }
     private var keepAlive = true
     private var idleSince = System.nanoTime()
@@ -57,7 +60,7 @@
     /** Writes [request], whose id is [requestId] if it has one. [answers] tells which answer is its own. */
     suspend fun send(request: FullHttpRequest, requestId: String? = null, answers: AnswerMatcher) {
         matcher = answers
-        requestId?.let(::carry)
+        requestId?.let(carried::add)
         decoder.expect(request.method())
         channel.writeAndFlush(request).done()
     }
@@ -65,11 +68,6 @@
     /** Whether request [requestId] was sent on this connection. */
     fun hasCarried(requestId: String): Boolean = requestId in carried
 
-    private fun carry(requestId: String) {
-        carried += requestId
-        if (carried.size > MOST_REMEMBERED) carried.removeFirst()
-    }
-
     /** The head of the answer. Throws [IOException] if none comes. */
     suspend fun head(): HttpResponse =
         when (val item = next()) {
@@ -80,11 +78,32 @@
     /** The next bytes of the answer's body, or null after its end. Throws [IOException] if the answer breaks off. */
     suspend fun body(): ByteArray? =
         when (val item = next()) {
-            is Item.Body -> item.bytes
+            is Item.Body -> item.bytes.also { queued(-it.size) }
             Item.End -> null
             is Item.Head -> throw IOException("an answer began inside another one")
         }
 
+    /** The whole body of the answer. Throws [IOException] if it breaks off or is too long to be kept. */
+    suspend fun wholeBody(): ByteArray {
+        val body = ByteArrayOutputStream()
+        try {
+            while (true) {
+                val bytes = body() ?: return body.toByteArray()
+                if (body.size() + bytes.size > MOST_BODY) throw IOException("the answer has over $MOST_BODY bytes")
+                if (!memory.take(bytes.size)) throw IOException("no memory is left for answers of servers")
+                body.writeBytes(bytes)
+            }
+        } finally {
+            memory.release(body.size())
+        }
+    }
+
+    /** A server that sends faster than its answer is taken is not read for a while. */
+    private fun queued(bytes: Int) {
+        queuedBytes += bytes
+        channel.config().isAutoRead = queuedBytes < MOST_QUEUED
+    }
+
     /** Ends the use of the connection after a whole answer. Returns whether it can be used again. */
     fun release(): Boolean {
         idleSince = System.nanoTime()
@@ -143,6 +162,7 @@
 
         private fun take(head: HttpResponse) {
             passingOver = false
+            decoder.begun()
             keepAlive = HttpUtil.isKeepAlive(head)
             noteIdleLimit(head)
             inbox.trySend(Item.Head(head))
@@ -150,7 +170,10 @@
 
         private fun content(message: HttpContent) {
             val size = message.content().readableBytes()
-            if (size > 0) inbox.trySend(Item.Body(ByteArray(size).also { message.content().readBytes(it) }))
+            if (size > 0) {
+                queued(size)
+                inbox.trySend(Item.Body(ByteArray(size).also { message.content().readBytes(it) }))
+            }
             if (message is LastHttpContent) {
                 decoder.ended()
                 inbox.trySend(Item.End)
@@ -188,8 +211,11 @@
         private val VERSIONS = setOf(HttpVersion.HTTP_1_0, HttpVersion.HTTP_1_1)
         private const val MILLIS_PER_SECOND = 1000L
 
-        /** Requests whose second answers may still come; servers answer twice at the next request at the earliest. */
-        private const val MOST_REMEMBERED = 64
+        /** Bytes of an answer that is kept whole: four times the largest value of the platform's store. */
+        private const val MOST_BODY = 4 * 1024 * 1024
+
+        /** Bytes that were read from the server and not taken yet; a few hundred events. */
+        private const val MOST_QUEUED = 128 * 1024
 
         /** A request needs up to a round trip between regions to arrive; servers state whole seconds. */
         private const val IDLE_MARGIN_MILLIS = 500L
