Log the request that waits when a server sends unexpected bytes

An on-call engineer who has the id of a failed request found the reason only by the address and the time. The line names the request now; of the answers to earlier requests that precede an answer, only the first is logged, so that endless ones do not fill the log.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
@@ -42,6 +42,8 @@
     private var queuedBytes = 0
     private val carried = RecentIds()
     private var matcher: AnswerMatcher = { AnswerMatch.UNIDENTIFIED }
+    private var waiting: String? = null
+    private var passedOver = 0
     private var keepAlive = true
     private var idleSince = System.nanoTime()
 
@@ -60,6 +62,8 @@
     /** Writes [request], whose id is [requestId] if it has one. [answers] tells which answer is its own. */
     suspend fun send(request: FullHttpRequest, requestId: String? = null, answers: AnswerMatcher) {
         matcher = answers
+        waiting = requestId
+        passedOver = 0
         requestId?.let(carried::add)
         decoder.expect(request.method())
         channel.writeAndFlush(request).done()
@@ -106,6 +110,7 @@
 
     /** Ends the use of the connection after a whole answer. Returns whether it can be used again. */
     fun release(): Boolean {
+        waiting = null
         idleSince = System.nanoTime()
         val clean = keepAlive && channel.isActive && inbox.tryReceive().getOrNull() == null
         if (!clean) close()
@@ -151,7 +156,7 @@
             if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) return true
             when (matcher(head)) {
                 AnswerMatch.OWN -> take(head)
-                AnswerMatch.EARLIER -> log.atInfo().addKeyValue("server", address).log("passed over a stray answer")
+                AnswerMatch.EARLIER -> if (passedOver++ == 0) line().log("passed over a stray answer")
                 AnswerMatch.UNIDENTIFIED -> {
                     breakOff(ctx, "an answer that names no request: ${head.status()} ${head.headers().names()}")
                     return false
@@ -181,15 +186,13 @@
         }
 
         private fun breakOff(ctx: ChannelHandlerContext, reason: String) {
-            log
-                .atInfo()
-                .addKeyValue("server", address)
-                .addKeyValue("reason", reason)
-                .log("unexpected bytes from a server; the connection is closed")
+            line().addKeyValue("reason", reason).log("unexpected bytes from a server; the connection is closed")
             inbox.close(IOException("the server sent bytes that are no answer"))
             ctx.close()
         }
 
+        private fun line() = log.atInfo().addKeyValue("server", address).addKeyValue("request", waiting)
+
         override fun userEventTriggered(ctx: ChannelHandlerContext, event: Any) {
             if (event is UnexpectedBytes) breakOff(ctx, event.reason) else super.userEventTriggered(ctx, event)
         }
