Fail plain service calls whose answer is malformed

Callers of plain services could get a cut answer as the outcome of their order. Cause: OkHttp reads an answer with an unreadable Content-Length until the connection closes, takes the last of several lengths, takes a line of the head without a colon as a field, and passes any transfer coding but "chunked" on as the body. A negative length or status ended the call with an unchecked exception. Such an answer is a lost one now (outcome unknown), also for the claim. Ruled out by reading: late second answers and bytes behind an answer, as each call has a connection of its own; an unframed answer cut by this process or by a reset, which fails. An unframed answer that the upstream itself ends early cannot be told from a whole one and stays open.

--- a/daemon/src/main/kotlin/fireflyhinge/daemon/service/OkHttpServiceClient.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/service/OkHttpServiceClient.kt
@@ -1,6 +1,7 @@
 package fireflyhinge.daemon.service
 
 import fireflyhinge.daemon.caller.CallerLink
+import fireflyhinge.daemon.outbound.AnswerFraming
 import okhttp3.Call
 import okhttp3.ConnectionPool
 import okhttp3.EventListener
@@ -35,6 +36,7 @@
             .callTimeout(limits.totalMillis, TimeUnit.MILLISECONDS)
             .eventListenerFactory { call -> call.request().tag(SentMark::class.java) ?: EventListener.NONE }
             .addNetworkInterceptor(Interceptor(::hideRetryAfter))
+            .addNetworkInterceptor(AnswerFraming)
             .build()
 
     override fun send(address: String, request: ServiceRequest, caller: CallerLink?): SendResult {
