Bound the bytes of a plain service's answer at the socket

An upstream could fill the daemon's memory until the call's time-out: OkHttp does not bound the size and the extension of a chunk, and the limit of the body did not count them. The socket now fails once an answer takes twice the largest body and a head. It also requires that an answer starts with "HTTP/1.": OkHttp takes "ICY 200 OK" as well.

--- a/daemon/src/main/kotlin/fireflyhinge/daemon/service/OkHttpServiceClient.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/service/OkHttpServiceClient.kt
@@ -2,6 +2,8 @@
 
 import fireflyhinge.daemon.caller.CallerLink
 import fireflyhinge.daemon.outbound.AnswerFraming
+import fireflyhinge.daemon.outbound.AnswerLimit
+import fireflyhinge.daemon.outbound.AnswerSockets
 import okhttp3.Call
 import okhttp3.ConnectionPool
 import okhttp3.EventListener
@@ -37,6 +39,8 @@
             .eventListenerFactory { call -> call.request().tag(SentMark::class.java) ?: EventListener.NONE }
             .addNetworkInterceptor(Interceptor(::hideRetryAfter))
             .addNetworkInterceptor(AnswerFraming)
+            .addNetworkInterceptor(AnswerLimit(limits.answerBytes))
+            .socketFactory(AnswerSockets)
             .build()
 
     override fun send(address: String, request: ServiceRequest, caller: CallerLink?): SendResult {
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/service/ServiceAnswerTest.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/service/ServiceAnswerTest.kt
@@ -35,6 +35,7 @@
             "HTTP/1.1 -12 OK\r\nContent-Length: 2\r\n\r\nok" to false,
             "HTTP/1.1 +20 OK\r\nContent-Length: 2\r\n\r\nok" to false,
             "HTTP/1.1 101 OK\r\n\r\nok" to false,
+            "ICY 200 OK\r\nContent-Length: 2\r\n\r\nok" to false,
             "ok" to false,
         ).map { (bytes, whole) ->
             DynamicTest.dynamicTest(bytes.lines().take(3).joinToString(separator = "|")) {
