Bound the answers of engines and of the store

An engine or the store could exhaust the daemon's memory with a body or a chunk extension without end, in a success as in an error, until the call's time-out: the whole body was read without a limit. Answers are bounded to 32 MB, at the socket and after decompression, and malformed ones fail as they do for plain services.

--- a/daemon/src/main/kotlin/fireflyhinge/daemon/engine/DecodeReader.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/engine/DecodeReader.kt
@@ -6,6 +6,7 @@
 import fireflyhinge.daemon.outbound.SendMark
 import fireflyhinge.daemon.outbound.isRefusedConnection
 import fireflyhinge.daemon.outbound.summary
+import fireflyhinge.daemon.outbound.text
 import fireflyhinge.engine.DecodeEvent
 import fireflyhinge.engine.EngineFailure
 import okhttp3.Call
@@ -35,7 +36,7 @@
 
     private fun read(response: Response) {
         if (!response.isSuccessful) {
-            return fail(EngineReplies.failureOf(HttpReply(status = response.code, body = response.body.string())))
+            return fail(EngineReplies.failureOf(HttpReply(status = response.code, body = response.text())))
         }
         val source = response.body.source()
         var type = ""
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/OutboundHttp.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/OutboundHttp.kt
@@ -31,7 +31,10 @@
                     maxRequests = MAX_CALLS
                     maxRequestsPerHost = MAX_CALLS
                 },
-            ).addNetworkInterceptor(SendMarker)
+            ).socketFactory(AnswerSockets)
+            .addNetworkInterceptor(AnswerLimit(MAX_ANSWER_BYTES))
+            .addNetworkInterceptor(AnswerFraming)
+            .addNetworkInterceptor(SendMarker)
             .build()
     private val unpooled = pooled.newBuilder().connectionPool(ConnectionPool(0, 1, TimeUnit.SECONDS)).build()
 
@@ -87,10 +90,12 @@
         executor.shutdown()
     }
 
-    private companion object {
-        const val MAX_CALLS = 10_000
-        const val MAX_IDLE = 128
-        const val KEEP_ALIVE_SECONDS = 30L
-        const val STRAY_READ_SECONDS = 120L
+    internal companion object {
+        /** Largest body of a whole answer; the longest is a list of the store. */
+        const val MAX_ANSWER_BYTES = 32_000_000L
+        private const val MAX_CALLS = 10_000
+        private const val MAX_IDLE = 128
+        private const val KEEP_ALIVE_SECONDS = 30L
+        private const val STRAY_READ_SECONDS = 120L
     }
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/ReplyCallback.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/ReplyCallback.kt
@@ -19,7 +19,7 @@
     override fun onResponse(call: Call, response: Response) {
         exchange.complete(
             try {
-                Exchange.Answered(HttpReply(status = response.code, body = response.use { it.body.string() }))
+                Exchange.Answered(HttpReply(status = response.code, body = response.use { it.text() }))
             } catch (e: IOException) {
                 Exchange.NoAnswer(e.summary())
             },
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/fake/RawServer.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/fake/RawServer.kt
@@ -21,6 +21,10 @@
 
     /** Bytes that clients took of endless answers. */
     val taken = AtomicLong()
+
+    /** Whether a client closed its connection during an endless answer. */
+    @Volatile var givenUp: Boolean = false
+        private set
     val address = "127.0.0.1:${listener.localPort}"
 
     init {
@@ -31,9 +35,14 @@
     fun endless(out: OutputStream, head: String, piece: String, most: Long = MOST) {
         out.write(head.toByteArray())
         val bytes = piece.repeat(CHUNK / piece.length + 1).toByteArray()
-        while (taken.get() < most) {
-            out.write(bytes)
-            taken.addAndGet(bytes.size.toLong())
+        try {
+            while (taken.get() < most) {
+                out.write(bytes)
+                taken.addAndGet(bytes.size.toLong())
+            }
+        } catch (e: IOException) {
+            givenUp = true
+            throw e
         }
     }
 
@@ -72,7 +81,7 @@
         private const val CHUNK = 8_192
 
         /** Far above every limit of an answer. */
-        const val MOST = 200_000_000L
+        const val MOST = 300_000_000L
 
         /** An answer to [request] that names it by the header of its call, if it has one. */
         fun json(request: String, body: String, status: String = "200 OK"): String =
