Require that answers of engines and of the store name their call

A second answer to one call was taken for the answer to the next on its connection: an order that the engine refused counted as accepted, an import as done, and a conditional write that the store refused as made. Cause: calls share kept connections, and an answer was accepted because nothing spoke against it. The check for stray bytes before a send sees neither bytes that OkHttp has read already nor a second answer that comes after the send. The stand-ins echo the id in StandinHost.

--- a/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/OutboundHttp.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/OutboundHttp.kt
@@ -1,12 +1,15 @@
 package fireflyhinge.daemon.outbound
 
+import fireflyhinge.CallId
 import okhttp3.Call
 import okhttp3.ConnectionPool
 import okhttp3.Dispatcher
 import okhttp3.OkHttpClient
 import okhttp3.Request
+import java.util.UUID
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 
 /**
  * HTTP calls to the store and to engines. A call is sent at most once, unless nothing was sent or it is idempotent;
@@ -16,6 +19,8 @@
  * @param traceparent gives the W3C trace context of the calling thread, or null.
  */
 class OutboundHttp(connectMillis: Long = 1_000, private val traceparent: () -> String? = { null }) : AutoCloseable {
+    private val process = UUID.randomUUID()
+    private val calls = AtomicLong()
     private val executor = Executors.newCachedThreadPool { Thread(it, "outbound-http").apply { isDaemon = true } }
     private val pooled =
         OkHttpClient
@@ -80,6 +85,7 @@
     /** Prepares a call that sets [mark] when it sends. */
     internal fun open(request: Request, mark: SendMark, newConnection: Boolean): Call {
         val marked = request.newBuilder().tag(SendMark::class.java, mark)
+        marked.header(CallId.HEADER, "$process-${calls.incrementAndGet()}")
         traceparent()?.let { marked.header("traceparent", it) }
         return (if (newConnection) unpooled else pooled).newCall(marked.build())
     }
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/engine/EngineAnswerTest.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/engine/EngineAnswerTest.kt
@@ -41,6 +41,30 @@
 
     private fun storeAt(address: String) = HttpStore(address, http, timeoutMillis = WAIT_MILLIS)
 
+    /** Guards against the second answer to one call that is taken for the answer to the next on its connection (P5). */
+    @TestFactory
+    fun aSecondAnswerIsNotTakenForThatOfTheNextCall(): List<DynamicTest> =
+        listOf(true, false).flatMap { atOnce -> calls.map { it to atOnce } }.map { (call, atOnce) ->
+            DynamicTest.dynamicTest("${call.name}, ${if (atOnce) "at once" else "late"}") {
+                var first = ""
+                val server =
+                    RawServer { request, count, out ->
+                        if (first.isEmpty()) {
+                            first = RawServer.json(request, call.body)
+                            out.write((if (atOnce) first + first else first).toByteArray())
+                        } else {
+                            if (count > 1 && !atOnce) out.write(first.toByteArray())
+                            out.write(RawServer.json(request, "{}", status = "409 Conflict").toByteArray())
+                        }
+                        true
+                    }
+                server.use {
+                    assertTrue(call.succeeds(it.address), "the first call")
+                    assertFalse(call.succeeds(it.address), "the second call")
+                }
+            }
+        }
+
     /** Guards against memory that an engine or the store fills with an answer without end. */
     @TestFactory
     fun anAnswerWithoutEndIsGivenUp(): List<DynamicTest> =
--- a/standin/src/main/kotlin/fireflyhinge/standin/http/StandinHost.kt
+++ b/standin/src/main/kotlin/fireflyhinge/standin/http/StandinHost.kt
@@ -1,6 +1,7 @@
 package fireflyhinge.standin.http
 
 import com.fasterxml.jackson.core.JsonProcessingException
+import fireflyhinge.CallId
 import io.javalin.Javalin
 import io.javalin.config.JavalinConfig
 import org.apache.catalina.core.StandardContext
@@ -51,6 +52,7 @@
                 config.routes.exception(JsonProcessingException::class.java) { e, ctx ->
                     ctx.refuse(status = 400, reason = "malformed JSON: ${e.originalMessage}")
                 }
+                config.routes.before { ctx -> ctx.header(CallId.HEADER)?.let { ctx.header(CallId.HEADER, it) } }
                 configure(config)
             }.javalinServlet()
 
