Stop reading a decode stream at its end, and bound it between events

Events went into the queue of a decode unchecked: those of other requests piled up behind a slow caller, events behind the end were queued for a reader that had left, and tokens beyond max_tokens reached the caller. The reader now checks events before it queues them, stops at the end event or the first failure, and allows 1 MB up to the next event of the request.

--- a/daemon/src/main/kotlin/fireflyhinge/daemon/engine/DecodeReader.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/engine/DecodeReader.kt
@@ -8,6 +8,7 @@
 import fireflyhinge.daemon.outbound.summary
 import fireflyhinge.daemon.outbound.text
 import fireflyhinge.engine.DecodeEvent
+import fireflyhinge.engine.DecodeRequest
 import fireflyhinge.engine.EngineFailure
 import okhttp3.Call
 import okhttp3.Callback
@@ -15,9 +16,15 @@
 import java.io.IOException
 import java.util.concurrent.LinkedBlockingQueue
 
-/** Reads the server-sent events of one decode call into a queue, so that the caller's wait can have a deadline. */
-internal class DecodeReader(val mark: SendMark) : Callback {
+/**
+ * Reads the server-sent events of one decode call into a queue, so that the caller's wait can have a deadline. Events
+ * of other requests are dropped here, and reading stops at the end event, so that an engine cannot fill the queue.
+ */
+internal class DecodeReader(request: DecodeRequest, val mark: SendMark) : Callback {
+    /** Events of the request in order, at most one a token, the end and a failure. */
     val items = LinkedBlockingQueue<StreamItem>()
+    private val sequence = DecodeSequence(request)
+    private var ended = false
 
     override fun onFailure(call: Call, e: IOException) {
         val unreachable = EngineFailure.Unreachable(reason = e.summary(), refused = e.isRefusedConnection())
@@ -40,23 +47,38 @@
         }
         val source = response.body.source()
         var type = ""
-        while (!source.exhausted()) {
+        mark.socket?.allow(EVENT_BYTES)
+        while (!ended && !source.exhausted()) {
             val line = source.readUtf8LineStrict(MAX_LINE_BYTES)
             if (line.startsWith(TYPE)) type = line.removePrefix(TYPE)
             if (line.startsWith(DATA)) receive(type = type, data = line.removePrefix(DATA))
         }
-        fail(EngineFailure.Broken("the stream ended without an end event"))
+        if (!ended) fail(EngineFailure.Broken("the stream ended without an end event"))
     }
 
     private fun receive(type: String, data: String) {
         when (type) {
-            "token" -> items.add(StreamItem.Received(Json.decode<DecodeEvent.Token>(data)))
-            "end" -> items.add(StreamItem.Received(Json.decode<DecodeEvent.End>(data)))
+            "token" -> accept(Json.decode<DecodeEvent.Token>(data))
+            "end" -> accept(Json.decode<DecodeEvent.End>(data))
             "cancelled" -> fail(EngineFailure.Cancelled)
         }
     }
 
+    private fun accept(event: DecodeEvent) {
+        when (sequence.check(event)) {
+            EventCheck.FOREIGN -> return
+            EventCheck.GAP -> fail(EngineFailure.Broken("tokens are missing before $event"))
+            EventCheck.EXCESS -> fail(EngineFailure.Broken("$event is beyond the last token"))
+            EventCheck.NEXT -> {
+                mark.socket?.allow(EVENT_BYTES)
+                ended = event is DecodeEvent.End
+                items.add(StreamItem.Received(event))
+            }
+        }
+    }
+
     private fun fail(failure: EngineFailure) {
+        ended = true
         items.add(StreamItem.Failed(failure))
     }
 
@@ -64,5 +86,8 @@
         const val TYPE = "event: "
         const val DATA = "data: "
         const val MAX_LINE_BYTES = 65_536L
+
+        /** Bytes up to the next event of the request; crossed events count. */
+        const val EVENT_BYTES = 16 * MAX_LINE_BYTES
     }
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/engine/DecodeSequence.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/engine/DecodeSequence.kt
@@ -17,6 +17,7 @@
     private fun checkToken(event: DecodeEvent.Token): EventCheck =
         when {
             event.id != request.id || event.index < next -> EventCheck.FOREIGN
+            event.index >= request.maxTokens -> EventCheck.EXCESS
             event.index > next -> EventCheck.GAP
             else -> {
                 next += 1
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/engine/DecodeSession.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/engine/DecodeSession.kt
@@ -1,19 +1,16 @@
 package fireflyhinge.daemon.engine
 
 import fireflyhinge.engine.DecodeEvent
-import fireflyhinge.engine.DecodeRequest
 import fireflyhinge.engine.EngineFailure
 import fireflyhinge.engine.EngineResult
 import java.util.concurrent.TimeUnit
 
 /** Delivers the events of one decode call in the calling thread, under a progress deadline. */
 internal class DecodeSession(
-    request: DecodeRequest,
     private val reader: DecodeReader,
     private val progressMillis: Long,
     private val onEvent: (DecodeEvent) -> Boolean,
 ) {
-    private val sequence = DecodeSequence(request)
     private var deadline = nextDeadline()
 
     /** Runs until the end event or the first failure. */
@@ -25,20 +22,12 @@
                 when (val item = reader.items.poll(left, TimeUnit.NANOSECONDS)) {
                     null -> failed(silence())
                     is StreamItem.Failed -> failed(item.failure)
-                    is StreamItem.Received -> receive(item.event)
+                    is StreamItem.Received -> deliver(item.event)
                 }
         }
         return result
     }
 
-    private fun receive(event: DecodeEvent): EngineResult<DecodeEvent.End>? =
-        when (sequence.check(event)) {
-            // Foreign events are no progress of this request, so the deadline stays.
-            EventCheck.FOREIGN -> null
-            EventCheck.GAP -> failed(EngineFailure.Broken("tokens are missing before $event"))
-            EventCheck.NEXT -> deliver(event)
-        }
-
     private fun deliver(event: DecodeEvent): EngineResult<DecodeEvent.End>? {
         val more = onEvent(event)
         deadline = nextDeadline()
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/engine/EngineCalls.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/engine/EngineCalls.kt
@@ -4,6 +4,7 @@
 import fireflyhinge.daemon.outbound.OutboundHttp
 import fireflyhinge.daemon.outbound.SendMark
 import fireflyhinge.engine.DecodeEvent
+import fireflyhinge.engine.DecodeRequest
 import fireflyhinge.engine.EngineFailure
 import fireflyhinge.engine.EngineResult
 import okhttp3.HttpUrl
@@ -32,15 +33,15 @@
     fun <T> repeatable(request: Request, timeoutMillis: Long, decode: (String) -> T): EngineResult<T> =
         EngineReplies.resultOf(http.exchange(request, timeoutMillis, idempotent = true), decode)
 
-    /** Sends [body] on an open or a new connection and hands the events to the session made by [sessionOf]. */
+    /** Sends [request] on an open or a new connection and hands the events to the session made by [sessionOf]. */
     fun stream(
         url: HttpUrl,
-        body: Any,
+        request: DecodeRequest,
         newConnection: Boolean,
         sessionOf: (DecodeReader) -> DecodeSession,
     ): EngineResult<DecodeEvent.End> {
-        val reader = DecodeReader(SendMark(checkConnection = !newConnection))
-        val call = http.open(request = postOf(url, body), mark = reader.mark, newConnection = newConnection)
+        val reader = DecodeReader(request, SendMark(checkConnection = !newConnection))
+        val call = http.open(request = postOf(url, request), mark = reader.mark, newConnection = newConnection)
         var result: EngineResult<DecodeEvent.End> = EngineResult.Failed(EngineFailure.Cancelled)
         try {
             call.enqueue(reader)
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/engine/EventCheck.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/engine/EventCheck.kt
@@ -10,4 +10,7 @@
 
     /** Tokens before this event are missing. */
     GAP,
+
+    /** A token beyond the last one that was asked for. */
+    EXCESS,
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/engine/HttpEngineClient.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/engine/HttpEngineClient.kt
@@ -43,8 +43,8 @@
         onEvent: (DecodeEvent) -> Boolean,
     ): EngineResult<DecodeEvent.End> {
         val attempt = { newConnection: Boolean ->
-            calls.stream(url = calls.url(address, "v1/decode"), body = request, newConnection = newConnection) {
-                DecodeSession(request = request, reader = it, progressMillis = progressMillis, onEvent = onEvent)
+            calls.stream(url = calls.url(address, "v1/decode"), request = request, newConnection = newConnection) {
+                DecodeSession(reader = it, progressMillis = progressMillis, onEvent = onEvent)
             }
         }
         val first = attempt(false)
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/SendMark.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/SendMark.kt
@@ -8,4 +8,7 @@
  */
 internal class SendMark(val checkConnection: Boolean, val permitted: () -> Boolean = { true }) {
     @Volatile var sent: Boolean = false
+
+    /** The connection's socket, once there is one. */
+    @Volatile var socket: AnswerSocket? = null
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/SendMarker.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/outbound/SendMarker.kt
@@ -29,6 +29,7 @@
             throw IOException("the server had closed the idle connection")
         }
         if (!mark.permitted()) throw IOException("the request may not be sent any more")
+        mark.socket = socket as? AnswerSocket
         mark.sent = true
     }
 }
