Bound the answers of other daemons, and fail malformed ones

A process at a daemon's control address could exhaust the memory of its peers with an answer without end, and a cut or malformed answer was decoded when its bytes were JSON.

--- a/daemon/src/main/kotlin/fireflyhinge/daemon/peer/HttpPeerTransport.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/peer/HttpPeerTransport.kt
@@ -2,6 +2,11 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException
 import fireflyhinge.Json
+import fireflyhinge.daemon.outbound.AnswerFraming
+import fireflyhinge.daemon.outbound.AnswerLimit
+import fireflyhinge.daemon.outbound.AnswerSockets
+import fireflyhinge.daemon.outbound.OutboundHttp
+import fireflyhinge.daemon.outbound.text
 import fireflyhinge.peer.PeerResult
 import fireflyhinge.peer.PeerTransport
 import okhttp3.ConnectionPool
@@ -34,6 +39,9 @@
         OkHttpClient.Builder()
             .connectTimeout(CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
             .readTimeout(0, TimeUnit.MILLISECONDS)
+            .socketFactory(AnswerSockets)
+            .addNetworkInterceptor(AnswerLimit(OutboundHttp.MAX_ANSWER_BYTES))
+            .addNetworkInterceptor(AnswerFraming)
             .build()
     private val clients = ConcurrentHashMap<String, OkHttpClient>()
 
@@ -80,7 +88,7 @@
     }
 
     private fun <T : Any> decode(response: Response, reply: Class<T>): PeerResult<T> {
-        val text = response.body.string()
+        val text = response.text()
         if (!response.isSuccessful) return PeerResult.Failed("status ${response.code}")
         return try {
             PeerResult.Ok(Json.mapper.readValue(text, reply))
