Answer pipelined requests one after the other

A caller that sent three requests at once, the first of which was refused, got the answer to the third as that of the second: the connection counted as free between the end of a request's job and the task that starts the next one, so two requests were answered side by side. The connection is busy from the start of a request until that task now; refusals of malformed bytes and idle checks see the same state, so bytes that are no request no longer cut off the answer before them.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/CallerConnection.kt
@@ -42,8 +42,10 @@
     private var closing = false
     private var quietSince = nowMillis()
 
-    /** Whether a request is being answered. */
-    val answering: Boolean get() = job?.isActive == true
+    /** Whether a request is being answered; its answer may be written whole before this is false again. */
+    @Volatile
+    var answering = false
+        private set
 
     override fun channelRead0(ctx: ChannelHandlerContext, message: HttpObject) {
         if (closing) return
@@ -68,6 +70,7 @@
         val (request, keepAlive) = waiting.removeFirstOrNull() ?: return
         channel.config().isAutoRead = true
         val writer = ChannelAnswer(channel, keepAlive = { keepAlive && !draining() })
+        answering = true
         job =
             io.scope.launch(start = CoroutineStart.UNDISPATCHED) {
                 try {
@@ -84,6 +87,7 @@
     }
 
     private fun answered(writer: ChannelAnswer) {
+        answering = false
         quietSince = nowMillis()
         when {
             !writer.complete -> channel.close()
