Refuse heads with a line that is no field, and bodies with a coding

The HTTP library takes such a line as a field without a value, and nothing behind it can tell. The decoder checks the lines itself now. A success with a Content-Encoding is not the replica's body, as no request allows one. Both end the connection like other bytes that are no answer.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
@@ -8,6 +8,7 @@
 import fireflyhinge.gateway.http.ConnectionPool
 import fireflyhinge.gateway.http.OutboundConnection
 import fireflyhinge.gateway.http.OutboundRequests
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
@@ -63,6 +64,8 @@
             facts.requestId != id -> AnswerMatch.EARLIER
             // Only the system sees the answer to a prefill.
             success && !facts.stamped && !call.prefill -> AnswerMatch.UNIDENTIFIED
+            // Callers' requests allow no coding, so the body is not the replica's.
+            success && head.headers().contains(HttpHeaderNames.CONTENT_ENCODING) -> AnswerMatch.UNIDENTIFIED
             else -> AnswerMatch.OWN
         }
     }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/AnswerDecoder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/AnswerDecoder.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.LastHttpContent
 
 /**
  * Decodes answers while one is expected. Bytes that come at another time are dropped and reported as [UnexpectedBytes],
@@ -16,12 +17,16 @@
     private var bodiless = false
     private var passedOver = 0L
     private var begun = false
+    private var inHead = true
+    private val head = HeadLines()
 
     /** A request with [method] is about to be sent. */
     fun expect(method: HttpMethod) {
         expecting = true
         bodiless = method == HttpMethod.HEAD
         begun = false
+        inHead = true
+        head.reset()
         passedOver = 0
     }
 
@@ -37,10 +42,27 @@
 
     override fun decode(ctx: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
         if (!expecting) return drop(ctx, buffer, "bytes that belong to no request")
-        val before = buffer.readableBytes()
+        val from = buffer.readerIndex()
         super.decode(ctx, buffer, out)
-        if (!begun) passedOver += before - buffer.readableBytes()
-        if (passedOver > MOST_PASSED_OVER) drop(ctx, buffer, "no answer in $passedOver bytes")
+        if (!begun) passedOver += buffer.readerIndex() - from
+        if (inHead) head.add(buffer, from, buffer.readerIndex())
+        follow(out)
+        when {
+            head.malformed -> {
+                out.clear()
+                drop(ctx, buffer, "a line of the head is no field")
+            }
+            passedOver > MOST_PASSED_OVER -> drop(ctx, buffer, "no answer in $passedOver bytes")
+        }
+    }
+
+    /** A head is decoded at once with the bytes up to its end, and a body by later calls. */
+    private fun follow(out: List<Any>) {
+        if (out.any { it is HttpMessage }) inHead = false
+        if (out.lastOrNull() is LastHttpContent) {
+            inHead = true
+            if (!head.malformed) head.reset()
+        }
     }
 
     private fun drop(ctx: ChannelHandlerContext, buffer: ByteBuf, reason: String) {
