Count an undecided replica as a possible crash before the next try

A caller's request that crashed three engines could get a fourth one: PoisonTest once saw 4 crashes with 3 allowed, with the crash counts 1, 2, 2, 3 in the log lines of the request. CrashDetector waited 500 ms for its probe and took a probe that had not answered, or that failed other than by a refused connection, for "no crash".

The verdict stays open now until there is evidence; the replica is probed again every 500 ms, once for all requests that wait for it. The next try goes on at once while known crashes and undecided replicas are at most two. With a third, the request waits for the verdicts within its time for a new placement, and fails if they do not come. A request that fails waits for the open verdicts within its time for retries, so that a repeat through another VM is charged with its crashes. A replica that answers and whose earlier incarnation could not be read still counts as alive, since three such replicas would end an innocent request.

Not ruled out: the third crash is reported by a message that the answer to the caller does not wait for.

--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/CrashDetector.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/CrashDetector.kt
@@ -10,21 +10,20 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executor
 import java.util.concurrent.RejectedExecutionException
-import java.util.concurrent.TimeUnit
-import java.util.concurrent.TimeoutException
 
 /**
  * Tells crashes of replicas from broken or silent connections. A crash is a broken connection followed by a refused
- * connection or by another incarnation of the engine.
+ * connection or by another incarnation of the engine; the same incarnation shows that there was none.
  */
 internal class CrashDetector(
     private val ports: CallerPorts,
-    private val probeMillis: Long,
-    private val executor: Executor,
+    private val limits: PipelineLimits,
+    executor: Executor,
 ) {
     private class Reading(val atMillis: Long, val incarnation: CompletableFuture<Long?>)
 
     private val readings = ConcurrentHashMap<String, Reading>()
+    private val probes = LoadProbes(ports.engines, limits.crashProbeMillis, executor)
 
     /** Notes the incarnations of the replicas of [placed] before they get the request. Neither blocks nor throws. */
     fun watch(placed: PlaceReply.Placed): Watch =
@@ -33,26 +32,38 @@
     /** The incarnations at the start of one attempt. */
     inner class Watch(private val before: Map<String, CompletableFuture<Long?>>) {
         /**
-         * Whether the failure of [result] was a crash; a crash is reported. A verdict that takes longer than the limit
-         * counts as no crash here and is reported later.
+         * Completes with whether the failure of [result] was a crash, once that is known and a crash is reported. Stays
+         * open if there is no evidence of either within the longest wait for a new placement.
          */
-        fun crashed(job: ModelJob, result: AttemptResult.Failed): Boolean {
-            if (result.failure !is EngineFailure.Broken) return false
-            val known = before[result.address]?.getNow(null)
-            val verdict = CompletableFuture.supplyAsync({ probe(result.address, known) }, executor)
-            verdict.thenAccept { if (it) report(job, result.replica, known) }
-            return try {
-                verdict.get(probeMillis, TimeUnit.MILLISECONDS)
-            } catch (_: TimeoutException) {
-                false
-            }
+        fun verdict(job: ModelJob, result: AttemptResult.Failed): CompletableFuture<Boolean> {
+            if (result.failure !is EngineFailure.Broken) return CompletableFuture.completedFuture(false)
+            val known = before.getValue(result.address)
+            val deadline = ports.clock.millis() + limits.newPlaceWait(job.priority, crashes = 1)
+            return decide(result.address, known, deadline, probes.now(result.address))
+                .thenApply { crashed -> crashed.also { if (it) report(job, result.replica, known.getNow(null)) } }
         }
     }
 
-    private fun probe(address: String, known: Long?): Boolean =
-        when (val load = ports.engines.load(address)) {
-            is EngineResult.Ok -> known != null && load.value.incarnation != known
-            is EngineResult.Failed -> (load.failure as? EngineFailure.Unreachable)?.refused ?: false
+    private fun decide(
+        address: String,
+        known: CompletableFuture<Long?>,
+        deadline: Long,
+        probe: CompletableFuture<EngineResult<EngineLoad>>,
+    ): CompletableFuture<Boolean> =
+        probe.thenCompose { load ->
+            val evidence = evidence(load, known)
+            when {
+                evidence != null -> CompletableFuture.completedFuture(evidence)
+                ports.clock.millis() < deadline -> decide(address, known, deadline, probes.later(address))
+                else -> CompletableFuture()
+            }
+        }
+
+    // A replica that answers and whose earlier incarnation could not be read counts as alive all the time.
+    private fun evidence(load: EngineResult<EngineLoad>, known: CompletableFuture<Long?>): Boolean? =
+        when (load) {
+            is EngineResult.Ok -> if (known.isDone) known.join() !in setOf(null, load.value.incarnation) else null
+            is EngineResult.Failed -> true.takeIf { (load.failure as? EngineFailure.Unreachable)?.refused == true }
         }
 
     private fun report(job: ModelJob, replica: String, incarnation: Long?) {
@@ -77,14 +88,11 @@
 
     private fun read(address: String): CompletableFuture<Long?> =
         try {
-            CompletableFuture.supplyAsync({ incarnationOf(ports.engines.load(address)) }, executor)
+            probes.now(address).thenApply { (it as? EngineResult.Ok)?.value?.incarnation }
         } catch (_: RejectedExecutionException) {
             CompletableFuture.completedFuture(null)
         }
 
-    private fun incarnationOf(load: EngineResult<EngineLoad>): Long? =
-        (load as? EngineResult.Ok)?.value?.incarnation
-
     private companion object {
         // One read a second for each replica in use; an older reading could predate a restart that is not this crash.
         const val MAX_AGE_MILLIS = 1000L
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelPipeline.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelPipeline.kt
@@ -18,7 +18,7 @@
     executor: Executor,
 ) {
     private val cleanup = EngineCleanup(ports.engines, ports.placement, executor)
-    private val crashes = CrashDetector(ports, limits.crashProbeMillis, executor)
+    private val crashes = CrashDetector(ports, limits, executor)
 
     /** Blocks until the answer was handed to [sink], has failed, or [caller] has left. */
     fun run(job: ModelJob, caller: CallerLink, sink: AnswerSink): ModelResult =
@@ -46,8 +46,8 @@
         return try {
             budgets.accepted(job.access.scope, job.route.service)
             val planner = PlacementStep(ports, limits, job, caller)
-            val run = ModelRun(ports, limits, budgets, planner, progress)
-            run.run(cleanup, crashes, earlierCrashes = charge?.crashes ?: 0)
+            val tally = CrashTally(earlier = charge?.crashes ?: 0)
+            ModelRun(ports, limits, budgets, planner, progress, tally).run(cleanup, crashes)
         } finally {
             charge?.let { ports.quota.settle(it, unused(it, job, progress)) }
         }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelRun.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelRun.kt
@@ -1,11 +1,13 @@
 package fireflyhinge.daemon.caller
 
 import fireflyhinge.engine.EngineRequestId
-import fireflyhinge.quota.CrashLevel
 import fireflyhinge.result.Outcome
 import fireflyhinge.retry.RetryBudgets
 import fireflyhinge.time.millis
 import org.slf4j.LoggerFactory
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
 
 /** The attempts of one charged request. Used by one thread, once. */
 internal class ModelRun(
@@ -14,24 +16,23 @@
     private val budgets: RetryBudgets,
     private val placements: PlacementStep,
     private val progress: AnswerProgress,
+    private val tally: CrashTally,
 ) {
     private val log = LoggerFactory.getLogger(javaClass)
     private val job = placements.job
     private val caller = placements.caller
-    private var crashes = 0
-    private var attempts = 0
+    private var expired = 0
     private var avoid = emptySet<String>()
     private var last: AttemptResult.Failed? = null
     private var paced = false
 
     /**
-     * Tries until the request has ended or its attempts are used up. [earlierCrashes] are those that its fingerprint
-     * took part in before. Crashes use up no attempts, because the third one ends the request.
+     * Tries until the request has ended or its attempts are used up. Crashes use up no attempts, because the third one
+     * ends the request.
      */
-    fun run(cleanup: EngineCleanup, detector: CrashDetector, earlierCrashes: Int): ModelResult {
-        crashes = earlierCrashes
+    fun run(cleanup: EngineCleanup, detector: CrashDetector): ModelResult {
         var number = 0
-        while (attempts < limits.attempts(job.priority)) {
+        while (expired + tally.otherFailures < limits.attempts(job.priority)) {
             number++
             attempt(number, cleanup, detector)?.let { return it }
         }
@@ -42,7 +43,7 @@
     private fun attempt(number: Int, cleanup: EngineCleanup, detector: CrashDetector): ModelResult? {
         if (!mayTry()) return failed()
         val placed =
-            when (val reply = placements.place(number, avoid, crashes)) {
+            when (val reply = placements.place(number, avoid, tally.crashes)) {
                 is Outcome.Failure -> return notPlaced(reply)
                 is Outcome.Success -> reply.value
             }
@@ -55,7 +56,7 @@
             AttemptResult.KeyWithdrawn -> ModelResult.Failed(withdrawn(progress))
             // Most of the prompt is then cached at the prefill replica. Each replica is left out once, so this ends.
             is AttemptResult.Leaving -> null.also { avoid = avoid + result.replica }
-            AttemptResult.TicketExpired -> null.also { attempts++ }
+            AttemptResult.TicketExpired -> null.also { expired++ }
             is AttemptResult.Failed -> retried(result, watch)
         }
     }
@@ -64,24 +65,38 @@
      * Waits for the retry budget after a failure that was no crash. An accepted request is paced rather than ended when
      * the budget is used up, because its answer may have begun.
      */
-    private fun mayTry(): Boolean {
-        if (!paced) return true
-        val deadline = job.arrivedMillis + limits.retryWait(job.priority)
-        while (!budgets.tryRetry(job.access.scope, job.route.service)) {
-            if (ports.clock.millis() > deadline || pointless(ports, job, caller)) return false
-            Thread.sleep(BUDGET_POLL_MILLIS)
-        }
-        return true
-    }
+    private fun mayTry(): Boolean =
+        !paced || await(limits.retryWait(job.priority)) { budgets.tryRetry(job.access.scope, job.route.service) }
 
     private fun retried(result: AttemptResult.Failed, watch: CrashDetector.Watch): ModelResult? {
         last = result
         avoid = avoid + result.avoid
-        val crashed = watch.crashed(job, result)
-        if (crashed) crashes++ else attempts++
+        val verdict = watch.verdict(job, result)
+        tally.failed(verdict)
+        val crashed = within(limits.crashProbeMillis, verdict)
         paced = !crashed && !result.failure.ranNothing()
-        log.warn("an attempt failed at replica {}: {}, crashes: {}", result.replica, result.failure, crashes)
-        return if (CrashLevel.of(crashes) == CrashLevel.BARRED) failed() else null
+        log.warn(
+            "an attempt failed at replica {}: {}, crashes: {}, undecided: {}",
+            result.replica,
+            result.failure,
+            tally.crashes,
+            tally.undecided,
+        )
+        return if (barred()) failed() else null
+    }
+
+    private fun within(millis: Long, verdict: CompletableFuture<Boolean>): Boolean =
+        try {
+            verdict.get(millis, TimeUnit.MILLISECONDS)
+        } catch (_: TimeoutException) {
+            false
+        }
+
+    /** Waits for verdicts while the replicas whose crash is not decided could be the last ones that are allowed. */
+    private fun barred(): Boolean {
+        val wait = limits.newPlaceWait(job.priority, crashes = 1)
+        await(wait) { !tally.mayBeBarred || tally.undecided == 0 }
+        return tally.mayBeBarred
     }
 
     private fun notPlaced(refusal: Outcome.Failure): ModelResult =
@@ -92,7 +107,20 @@
             else -> ModelResult.Failed(refusal)
         }
 
-    private fun failed(): ModelResult = ModelResult.Failed(exhausted(progress, last))
+    /** Waits for verdicts, so that a repeat of the request is charged with the crashes of this one. */
+    private fun failed(): ModelResult {
+        await(limits.retryWait(job.priority)) { tally.undecided == 0 }
+        return ModelResult.Failed(exhausted(progress, last))
+    }
+
+    /** Whether [condition] holds at a time that is at most [millis] after the arrival, with the answer still wanted. */
+    private fun await(millis: Long, condition: () -> Boolean): Boolean {
+        while (!condition()) {
+            if (ports.clock.millis() > job.arrivedMillis + millis || pointless(ports, job, caller)) return false
+            Thread.sleep(POLL_MILLIS)
+        }
+        return true
+    }
 
     private fun answered(reason: String): ModelResult =
         ModelResult.Answered(
@@ -103,6 +131,6 @@
         )
 
     private companion object {
-        const val BUDGET_POLL_MILLIS = 20L
+        const val POLL_MILLIS = 20L
     }
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/PipelineLimits.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/PipelineLimits.kt
@@ -18,7 +18,8 @@
  * @property leavingMillis age of a placement from which a decode replica that leaves gets the request no more. With up
  * to 1 s until the cell owner knows that it leaves, it gets no work later than the 3 s of promise P9.
  * @property progressMillis longest silence of a decode stream.
- * @property crashProbeMillis longest wait for the verdict whether a broken replica crashed.
+ * @property crashProbeMillis longest wait for the verdict whether a broken replica crashed, unless it may be the third
+ * crash, and time after which an undecided replica is probed again.
  * @property interactiveRetryMillis time for which a failed interactive request waits for the retry budget.
  * @property suspectMillis longest wait of an interactive request for a new placement after a crash. Four requests of a
  * crashed batch of 20 run at a time on the last replica, so the others wait for up to four rounds of answers.
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/caller/PipelineFixture.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/caller/PipelineFixture.kt
@@ -13,9 +13,14 @@
 import fireflyhinge.tokens.PromptDigest
 import fireflyhinge.tokens.TokenCounter
 import org.junit.jupiter.api.Assertions.assertEquals
+import java.util.concurrent.Executor
 
-/** The pipeline over fakes, run in the test's thread. */
-class PipelineFixture(limits: PipelineLimits = PipelineLimits(), budgets: RetryBudgets = RetryBudgets()) {
+/** The pipeline over fakes, run in the test's thread unless [executor] hands tasks to another one. */
+class PipelineFixture(
+    limits: PipelineLimits = PipelineLimits(),
+    budgets: RetryBudgets = RetryBudgets(),
+    executor: Executor = Executor(Runnable::run),
+) {
     val engines = FakeEngines(length = 4)
     val quota = FakeQuota()
     val placement = FakePlacement()
@@ -23,7 +28,7 @@
     val caller = FakeCaller()
     val sent = ArrayList<String>()
     private val ports = CallerPorts(config, quota, placement, engines, FakeMembership())
-    private val pipeline = ModelPipeline(ports, limits, budgets, executor = Runnable::run)
+    private val pipeline = ModelPipeline(ports, limits, budgets, executor)
 
     /** Runs a request of 3 prompt tokens for up to [maxTokens]. */
     fun run(
