Wait for first tokens before counting the prefills of a left queue

The daemon's log of the first run shows 14 transfers that timed out or whose KV cache expired while 20 requests filled the engine: 4 prefills of the case before, 20 and 14 repeats are 38, so the caller that left the queue cost none. A transfer that fails holds a slot until then, so the test saw a full engine and an idle prefill replica between two tries.

The test waits for the first token of each of the 20 requests now; what it asserts is unchanged.

--- a/system-test/src/test/kotlin/fireflyhinge/systemtest/HeldCapacityTest.kt
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/HeldCapacityTest.kt
@@ -51,6 +51,8 @@
     @Order(2)
     fun aCallerThatLeavesTheQueueCostsNoPrefill() {
         val running = (1..SLOTS).map { LeavingCaller(fleet.callerAddress("vm-2"), calls.call("fill $it", LONG_ANSWER)) }
+        // A transfer that fails holds a slot until then and is followed by another prefill.
+        fleet.await("requests do not decode") { running.all { it.answered } }
         fleet.await("the decode engine is not full") { fleet.held(setOf(UpstreamRole.DECODE)).size == SLOTS }
         fleet.await("a prefill is left") { fleet.held(setOf(UpstreamRole.PREFILL)).isEmpty() }
         val before = prefills()
--- a/system-test/src/test/kotlin/fireflyhinge/systemtest/LeavingCaller.kt
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/LeavingCaller.kt
@@ -7,6 +7,9 @@
 internal class LeavingCaller(address: String, call: ChatCall) {
     private val socket = Socket(address.substringBefore(':'), address.substringAfter(':').toInt())
 
+    /** Whether a part of the answer has come, which is not before its first token unless the request failed. */
+    val answered: Boolean get() = socket.getInputStream().available() > 0
+
     init {
         val fields = mapOf("model" to call.model, "messages" to call.messages, "max_tokens" to call.maxTokens)
         val body = Json.encode(fields + ("stream" to true)).toByteArray()
