Log the VMs that may own shards, and what each shard map changes

The logs of a VM that joined and owned no bucket held only its start, so they could not tell whether it was no candidate, was made no successor, or got other shards. Each daemon logs its candidates when they change, and for each newer map of its region the shards whose owner or successor changed and the number that each VM owns.

--- /dev/null
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/lease/ShardLog.kt
@@ -0,0 +1,27 @@
+package fireflyhinge.daemon.lease
+
+import fireflyhinge.lease.Candidate
+import fireflyhinge.lease.MapCopy
+import fireflyhinge.lease.MapDifference
+import fireflyhinge.lease.RegionView
+import org.slf4j.LoggerFactory
+
+/** Logs what decides where the region's shards are: the VMs that may own them, and each change of the map. */
+internal class ShardLog {
+    private var candidates: List<Candidate>? = null
+
+    /** Logs the candidates of [view] if they differ from those of the last call. Runs in one thread. */
+    fun candidates(view: RegionView) {
+        if (view.candidates == candidates) return
+        candidates = view.candidates
+        log.info("VMs that may own shards: {}", view.candidates.map { it.process.vm })
+    }
+
+    /** The map [after] was learned in place of [before]. */
+    fun learned(before: MapCopy?, after: MapCopy) =
+        log.info("shard map version {}: {}", after.version, MapDifference(before?.map, after.map))
+
+    private companion object {
+        val log = LoggerFactory.getLogger(ShardLog::class.java)
+    }
+}
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/lease/ShardService.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/lease/ShardService.kt
@@ -36,6 +36,7 @@
     private val mapStore = MapStore(store, self.region)
     private val keeper = MapKeeper(store = mapStore, book = book, clock = clock, learn = ::learn)
     private val loop = LeaseLoop(pass = ::pass)
+    private val shardLog = ShardLog()
 
     /** Whether all shards are being handed to their successors; done when [actingShards] is empty. */
     @Volatile
@@ -84,7 +85,11 @@
     /** Takes a copy of a shard map, for example from gossip; older copies and other objects are ignored. */
     fun learn(copy: StoredObject) {
         val newer = maps.learn(copy) ?: return
-        if (newer.map.region == self.region) book.use { now -> learn(newer, now) }
+        if (newer.map.region != self.region) return
+        book.use { now ->
+            val before = this.copy
+            if (learn(newer, now)) shardLog.learned(before, newer)
+        }
     }
 
     /** Reads the maps from the store at the next pass of the loop, for example after a `not_owner` answer. */
@@ -107,6 +112,7 @@
 
     private fun pass() {
         val view = RegionViews.of(membership, draining)
+        shardLog.candidates(view)
         // An operator may have fenced this VM: others count it as dead and act.
         if (!stopped && view.dead(self.process)) {
             log.warn("this process counts as dead, for example because its VM is fenced; it stops acting")
