Run gateways as processes under seeded faults

bin/soak starts the program of the platform path as JVM processes on loopback against stand-ins of the store and of replicas, and compares what callers got with what replicas ran while both go on.

--- /dev/null
+++ b/soak/src/main/kotlin/fireflyhinge/soak/Caller.kt
@@ -0,0 +1,91 @@
+package fireflyhinge.soak
+
+import org.slf4j.LoggerFactory
+import java.io.IOException
+import kotlin.random.Random
+
+/** Sends requests one after the other until [until], on kept and new connections, and leaves some of them early. */
+internal class Caller(
+    private val index: Int,
+    private val shared: Shared,
+    private val until: Long,
+) : Runnable {
+    /** What all callers use. */
+    class Shared(
+        val seed: Long,
+        val gateways: List<GatewayAddress>,
+        val ledger: Ledger,
+        val keys: Keys,
+        val tally: Tally,
+        val clock: Clock,
+    )
+
+    private val log = LoggerFactory.getLogger(javaClass)
+    private val random = Random(shared.seed * CALLERS + index)
+    private var kept: CallerSocket? = null
+    private var number = 0
+
+    override fun run() {
+        while (shared.clock.millis() < until) {
+            Thread.sleep(random.nextLong(PAUSE_MILLIS))
+            try {
+                call(connection())
+            } catch (e: IOException) {
+                log.debug("caller {} lost its connection: {}", index, e.message)
+                shared.tally.add("lost")
+                drop()
+            }
+        }
+        drop()
+    }
+
+    private fun connection(): CallerSocket {
+        if (random.nextDouble() < NEW_SHARE) drop()
+        return kept ?: CallerSocket(shared.gateways.random(random)).also { kept = it }
+    }
+
+    private fun call(socket: CallerSocket) {
+        val request =
+            Sent(
+                id = "s${shared.seed}-$index-${number++}",
+                kind = CallKind.entries.random(random),
+                key = if (random.nextDouble() < OLD_KEY_SHARE) shared.keys.any(random::nextInt) else Keys.LASTING,
+                gateway = socket.gateway.index,
+                at = shared.clock.millis(),
+            )
+        val bytes = socket.unasked()
+        shared.ledger.sent(request)
+        if (bytes.isNotEmpty()) {
+            shared.ledger.unasked(request.id, bytes)
+            return drop()
+        }
+        socket.send(request)
+        if (random.nextDouble() < LEAVE_SHARE) {
+            socket.leave(1 + random.nextInt(LEAVE_MILLIS))
+            shared.tally.add("left")
+            return drop()
+        }
+        val reply = socket.answer()
+        if (reply != null) {
+            shared.ledger.received(request.id, reply)
+            shared.tally.add("${request.kind}-${if (reply.whole) "${reply.status}" else "broken"}")
+        } else {
+            shared.tally.add("closed")
+        }
+        if (reply?.whole != true || reply.headers["connection"].equals("close", ignoreCase = true)) drop()
+    }
+
+    private fun drop() {
+        kept?.close()
+        kept = null
+    }
+
+    private companion object {
+        const val CALLERS = 1_000L
+        const val PAUSE_MILLIS = 100L
+        const val LEAVE_MILLIS = 400
+        const val NEW_SHARE = 0.15
+        const val OLD_KEY_SHARE = 0.25
+        const val LEAVE_SHARE = 0.06
+    }
+}
--- /dev/null
+++ b/soak/src/main/kotlin/fireflyhinge/soak/FaultKind.kt
@@ -0,0 +1,13 @@
+package fireflyhinge.soak
+
+/** Faults from outside the programs. Those that are not [calm] excuse a gateway from bounds of time. */
+internal enum class FaultKind(val calm: Boolean) {
+    GATEWAY_KILL(false),
+    GATEWAY_TERM(false),
+    GATEWAY_PAUSE(false),
+    STORE_DOWN(false),
+    STORE_SLOW(false),
+    STORE_LINK(false),
+    REPLICA_LINK(true),
+    KEYS_CHANGE(true),
+}
--- /dev/null
+++ b/soak/src/main/kotlin/fireflyhinge/soak/Sent.kt
@@ -0,0 +1,4 @@
+package fireflyhinge.soak
+
+/** A request of a caller; [at] is in milliseconds of the soak's clock. */
+internal class Sent(val id: String, val kind: CallKind, val key: String, val gateway: Int, val at: Long)
