--- a/soak/src/main/kotlin/fireflyhinge/soak/Caller.kt
+++ b/soak/src/main/kotlin/fireflyhinge/soak/Caller.kt
@@ -55,6 +55,7 @@
             )
         val bytes = socket.unasked()
         shared.ledger.sent(request)
+        if (shared.ledger.mustBeDenied(request)) shared.tally.add(Tally.WITHDRAWN)
         if (bytes.isNotEmpty()) {
             shared.ledger.unasked(request.id, bytes)
             return drop()
--- a/soak/src/main/kotlin/fireflyhinge/soak/Ledger.kt
+++ b/soak/src/main/kotlin/fireflyhinge/soak/Ledger.kt
@@ -30,10 +30,13 @@
         synchronized(entry) { entry.refusedWith }?.let {
             violations.add("refused", id, "runs after status $it kind=${sent.kind}")
         }
+        if (mustBeDenied(sent)) violations.add("key", id, "runs with withdrawn ${sent.key} at gateway ${sent.gateway}")
+    }
+
+    /** Whether the key of [sent] was withdrawn so early that a gateway in touch with the store must know it. */
+    fun mustBeDenied(sent: Sent): Boolean {
         val bound = sent.at - CONFIG_APPLY_MILLIS
-        if (keys.isWithdrawn(sent.key, by = bound) && calm.since(sent.gateway, bound - CONTACT_MILLIS)) {
-            violations.add("key", id, "runs with ${sent.key}, withdrawn earlier, at gateway ${sent.gateway}")
-        }
+        return keys.isWithdrawn(sent.key, by = bound) && calm.since(sent.gateway, bound - CONTACT_MILLIS)
     }
 
     /** A replica is about to answer with [stamp] and [status], as [kind] says. */
@@ -66,7 +69,7 @@
         val own = answer?.status == reply.status
         when {
             reply.status in SUCCESS && !(own && answer?.kind?.sound == true) ->
-                violations.add("mixed", id, "status=${reply.status} stamp=$stamp is no sound answer of a replica")
+                violations.add("mixed", id, "no sound answer: replica sent ${answer?.kind} headers=${reply.headers}")
             stamp != null && !own ->
                 violations.add("mixed", id, "status=${reply.status} stamp=$stamp replica's status=${answer?.status}")
         }
--- a/soak/src/main/kotlin/fireflyhinge/soak/Mischief.kt
+++ b/soak/src/main/kotlin/fireflyhinge/soak/Mischief.kt
@@ -1,9 +1,7 @@
 package fireflyhinge.soak
 
-import kotlin.random.Random
-
 /** How a replica answers one call; [weight] is its share among wrong answers, [sound] if it may reach the caller. */
-internal enum class Mischief(private val weight: Int, val sound: Boolean) {
+internal enum class Mischief(val weight: Int, val sound: Boolean) {
     NONE(0, true),
     SECOND_ANSWER_LATE(6, true),
     SECOND_ANSWER_NOW(4, true),
@@ -17,17 +15,4 @@
     FAILED(4, false),
     REJECTED(6, false),
     SLOW(4, true),
-    ;
-
-    companion object {
-        /** One of them; with probability [share] not [NONE]. */
-        fun pick(random: Random, share: Double): Mischief {
-            if (random.nextDouble() >= share) return NONE
-            var left = random.nextInt(entries.sumOf { it.weight })
-            return entries.first { kind ->
-                left -= kind.weight
-                left < 0
-            }
-        }
-    }
 }
--- a/soak/src/main/kotlin/fireflyhinge/soak/ReplicaStandin.kt
+++ b/soak/src/main/kotlin/fireflyhinge/soak/ReplicaStandin.kt
@@ -8,11 +8,11 @@
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 
-/** Stands in for a replica that keeps the protocol or, as [mischief] decides for each call, breaks it. */
+/** Stands in for a replica that keeps the protocol or, as [plan] decides for each call, breaks it. */
 internal class ReplicaStandin(
     val id: String,
     private val ledger: Ledger,
-    private val mischief: (String, Long) -> Mischief,
+    private val plan: MischiefPlan,
 ) : AutoCloseable {
     private val log = LoggerFactory.getLogger(javaClass)
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
@@ -57,7 +57,7 @@
 
     private fun answer(call: ReplicaCall, wire: ReplicaWire) {
         val number = calls.incrementAndGet()
-        val kind = mischief(id, number)
+        val kind = plan.pick(id, number)
         val stamp = "$id.$number"
         if (wire.pending.isNotEmpty()) wire.send(wire.pending.also { wire.pending = "" })
         val script = AnswerScript(call, stamp, kind, wire, ledger)
--- a/soak/src/main/kotlin/fireflyhinge/soak/Site.kt
+++ b/soak/src/main/kotlin/fireflyhinge/soak/Site.kt
@@ -5,11 +5,10 @@
 import java.net.HttpURLConnection
 import java.net.URL
 import java.nio.file.Path
-import kotlin.random.Random
 
 /** A store, replicas and gateways on loopback, with a link in front of each replica and of each gateway's store. */
 internal class Site(
-    private val seed: Long,
+    plan: MischiefPlan,
     gatewayCount: Int,
     root: Path,
     folder: Path,
@@ -22,13 +21,9 @@
     private val addresses = List(gatewayCount) { GatewayAddress(it) }
     private val settings = GatewaySettings(seeds = addresses)
 
-    /** Share of calls that replicas answer wrongly. */
-    @Volatile
-    var mischiefShare = 0.0
-
     val store = StoreStandin()
     val storeLinks = List(gatewayCount) { Link(store.port) }
-    private val replicas = PLACES.map { ReplicaStandin(it.id, ledger, ::mischief) }
+    private val replicas = PLACES.map { ReplicaStandin(it.id, ledger, plan) }
     val replicaLinks = replicas.map { Link(it.port) }
     val gateways = addresses.map { GatewayProcess(it, RunLine.read(root, it.metrics), folder, violations) }
 
@@ -61,9 +56,6 @@
             false
         }
 
-    private fun mischief(replica: String, number: Long): Mischief =
-        Mischief.pick(Random(seed * replica.hashCode() + number), mischiefShare)
-
     override fun close() {
         gateways.forEach { it.signal("CONT") }
         gateways.forEach { it.stop() }
--- a/soak/src/main/kotlin/fireflyhinge/soak/Soak.kt
+++ b/soak/src/main/kotlin/fireflyhinge/soak/Soak.kt
@@ -12,6 +12,7 @@
     private val gatewayCount: Int,
     private val root: Path,
     private val print: (String) -> Unit,
+    private val kinds: Collection<Mischief> = Mischief.entries,
 ) {
     /** Runs it and returns the violations. Logs and settings of the gateways stay in a folder below `soak/target`. */
     fun run(): List<String> {
@@ -23,17 +24,22 @@
         val ledger = Ledger(violations, keys, calm)
         val tally = Tally()
         print("seed=$seed gateways=$gatewayCount logs=${root.relativize(folder)}")
-        Site(seed, gatewayCount, root, folder, ledger, violations).use { site ->
+        val plan = MischiefPlan(seed, kinds)
+        Site(plan, gatewayCount, root, folder, ledger, violations).use { site ->
             site.open(listOf(Keys.LASTING, keys.current))
             val until = clock.millis() + millis
             val addresses = site.gateways.map { it.address }
             val shared = Caller.Shared(seed, addresses, ledger, keys, tally, clock)
             val callers = List(CALLERS) { thread(name = "caller-$it") { Caller(it, shared, until).run() } }
-            site.mischiefShare = MISCHIEF_SHARE
+            plan.share = MISCHIEF_SHARE
             inject(Injector(site, keys, calm), tally, clock)
             callers.forEach { it.join() }
+            plan.share = 0.0
+            site.gateways.indices.filterNot(site::awaitReady).forEach {
+                violations.add("recover", "-", "gateway $it is not ready after the last fault")
+            }
         }
-        SERVED.filter { tally[it] == 0L }.forEach { violations.add("idle", "-", "no answer counted as $it") }
+        tally.missing().forEach { violations.add("idle", "-", "nothing counted as $it") }
         val summary = "seed=$seed violations=${violations.all.size} $tally"
         print(summary)
         folder.resolve("violations.log").writeText((violations.all + summary).joinToString("\n", postfix = "\n"))
@@ -54,6 +60,5 @@
     private companion object {
         const val CALLERS = 24
         const val MISCHIEF_SHARE = 0.1
-        val SERVED = CallKind.entries.map { "$it-200" }
     }
 }
--- a/soak/src/main/kotlin/fireflyhinge/soak/Tally.kt
+++ b/soak/src/main/kotlin/fireflyhinge/soak/Tally.kt
@@ -11,7 +11,14 @@
         counts.computeIfAbsent(name) { AtomicLong() }.incrementAndGet()
     }
 
-    operator fun get(name: String): Long = counts[name]?.get() ?: 0
+    /** What a run must have counted to say anything, and did not. */
+    fun missing(): List<String> = NEEDED.filterNot(counts::containsKey)
 
     override fun toString(): String = counts.toSortedMap().entries.joinToString(" ") { "${it.key}=${it.value}" }
+
+    companion object {
+        /** Requests whose key must be denied. */
+        const val WITHDRAWN = "withdrawn-key"
+        private val NEEDED = CallKind.entries.map { "$it-200" } + WITHDRAWN
+    }
 }
