Break off a stream whose next run leaves out an event

What a caller saw: events 1, 2 from a replica that broke off, then 4, 5 from the one that went on, and a sound end.

Cause: EventOrder compared numbers with the last one only to pass over events that came before; nothing asked whether the run that goes on begins where the one before ended.

Gaps inside one run stay allowed.

--- a/core/src/main/kotlin/fireflyhinge/forward/EventOrder.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/EventOrder.kt
@@ -10,12 +10,34 @@
     var passed = 0
         private set
 
+    private var joining = false
+    private var longestStep = 0L
+
+    /** Another run begins, which goes on after the events so far. */
+    fun runBegins() {
+        joining = passed > 0
+    }
+
+    /**
+     * Whether [event], the first new one of a run that goes on, does not follow the events so far. The platform states
+     * only that numbers increase, so the longest step between the events so far tells how far apart two may be.
+     */
+    fun leavesGap(event: StreamEvent): Boolean {
+        if (!joining) return false
+        val number = event.number ?: return true
+        return number - (last ?: 0) > longestStep
+    }
+
     /** Whether [event] may be handed on; false for one that the caller already has. */
     fun accept(event: StreamEvent): Boolean {
         val number = event.number
         val before = last
         if (number != null && before != null && number <= before) return false
-        if (number != null) last = number
+        if (number != null) {
+            longestStep = maxOf(longestStep, number - (before ?: 0))
+            last = number
+        }
+        joining = false
         passed++
         return true
     }
--- /dev/null
+++ b/core/src/test/kotlin/fireflyhinge/forward/EventOrderTest.kt
@@ -0,0 +1,48 @@
+package fireflyhinge.forward
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+class EventOrderTest {
+    private class Case(
+        val what: String,
+        val lastEvent: Long?,
+        val first: List<Long?>,
+        val second: List<Long?>,
+        val gap: Boolean,
+    )
+
+    private val joins =
+        listOf(
+            Case("the next event", lastEvent = null, first = listOf(1, 2), second = listOf(3), gap = false),
+            Case("an event left out", lastEvent = null, first = listOf(1, 2), second = listOf(4), gap = true),
+            Case("events that came before", lastEvent = null, first = listOf(1, 2), second = listOf(1, 2), gap = false),
+            Case("steps of ten", lastEvent = null, first = listOf(10, 20), second = listOf(30), gap = false),
+            Case("an event without id", lastEvent = null, first = listOf(1, 2), second = listOf(null), gap = true),
+            Case("after the caller's", lastEvent = 12, first = listOf(13), second = listOf(15), gap = true),
+            Case("no event before", lastEvent = 12, first = emptyList(), second = listOf(15), gap = false),
+        )
+
+    /** Guards against a stream of two runs that looks whole though an event between them is missing. */
+    @Test
+    fun aRunThatGoesOnFollowsTheEventsBefore() {
+        joins.forEach { case ->
+            val order = EventOrder(case.lastEvent)
+            order.runBegins()
+            case.first.map(::event).forEach { if (!order.leavesGap(it)) order.accept(it) }
+            order.runBegins()
+            assertEquals(case.gap, case.second.any { order.leavesGap(event(it)) }, case.what)
+        }
+    }
+
+    /** Guards against streams that end early because one run leaves numbers out, which the platform allows. */
+    @Test
+    fun numbersWithinOneRunMayBeLeftOut() {
+        val order = EventOrder(lastEvent = null)
+        order.runBegins()
+        val numbers = listOf(1L, 3L, 9L)
+        assertEquals(numbers, numbers.filter { !order.leavesGap(event(it)) && order.accept(event(it)) })
+    }
+
+    private fun event(number: Long?) = StreamEvent(number, ByteArray(0))
+}
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
@@ -3,6 +3,7 @@
 import fireflyhinge.forward.EventOrder
 import fireflyhinge.forward.EventSplitter
 import fireflyhinge.forward.ReplicaState
+import fireflyhinge.forward.StreamEvent
 import fireflyhinge.gateway.http.AnswerWriter
 import fireflyhinge.gateway.http.ConnectFailed
 import fireflyhinge.gateway.http.OutboundConnection
@@ -80,21 +81,27 @@
 
     private suspend fun stream(connection: OutboundConnection, head: HttpResponse): Reading<DecodeOutcome> {
         val events = EventSplitter()
+        order.runBegins()
         while (true) {
             waiting = true
             val bytes = connection.body() ?: return end(events)
             heardAt = nowMillis()
             waiting = false
-            events.add(bytes).filter(order::accept).forEach { event ->
-                // The answer keeps the head of the first replica.
-                if (!answer.started) answer.begin(OK, sender.toCaller(head.headers()))
-                answer.send(event.bytes)
-                attempt.handedOn()
+            events.add(bytes).forEach { event ->
+                if (order.leavesGap(event)) return Reading.Partial(DecodeOutcome.Lost("an event is missing"))
+                if (order.accept(event)) handOn(event, head)
             }
             if (events.oversized) return Reading.Partial(DecodeOutcome.Lost("an event without end"))
         }
     }
 
+    private suspend fun handOn(event: StreamEvent, head: HttpResponse) {
+        // The answer keeps the head of the first replica.
+        if (!answer.started) answer.begin(OK, sender.toCaller(head.headers()))
+        answer.send(event.bytes)
+        attempt.handedOn()
+    }
+
     private suspend fun end(events: EventSplitter): Reading<DecodeOutcome> {
         if (events.partial || !answer.started) return Reading.Partial(DecodeOutcome.Lost("ended inside an event"))
         answer.end()
