Resume no stream whose events have no ids

What a caller saw: a run that broke off after two events without ids, joined with a run that starts over.

Cause: where a run goes on is told by the id of the last event; without one the second run got no Last-Event-Id, and none of its events could be recognised as known. Such a stream is broken off now, which its caller sees, and a silent run is not replaced.

AnswerOrderTest#eventsWithoutIdsAreNotJoined failed before and passes now.

--- a/core/src/main/kotlin/fireflyhinge/forward/EventOrder.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/EventOrder.kt
@@ -10,6 +10,10 @@
     var passed = 0
         private set
 
+    /** Whether all events so far had numbers, so that it can be told where another run goes on. */
+    var numbered = true
+        private set
+
     private var joining = false
     private var longestStep = 0L
 
@@ -33,7 +37,9 @@
         val number = event.number
         val before = last
         if (number != null && before != null && number <= before) return false
-        if (number != null) {
+        if (number == null) {
+            numbered = false
+        } else {
             longestStep = maxOf(longestStep, number - (before ?: 0))
             last = number
         }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -33,7 +33,8 @@
         fun mayTry(attempt: Attempt): Boolean {
             val route = attempt.admission.route
             val allowed = sends < route.maxAttempts && unreachable < MOST_UNREACHABLE
-            return allowed && attempt.remaining > 0 && (route.resumable || !attempt.mayHaveRun)
+            val repeatable = (route.resumable && order.numbered) || !attempt.mayHaveRun
+            return allowed && attempt.remaining > 0 && repeatable
         }
 
         fun failed(answer: AnswerWriter): ForwardResult =
@@ -83,7 +84,7 @@
 
     /** Finds a place for a request whose replica is silent, so that its run ends only if it can go on elsewhere. */
     private suspend fun secure(attempt: Attempt, tries: Tries, answer: AnswerWriter): Boolean {
-        if (!pools.repeats.take(attempt.service)) return false
+        if (!tries.order.numbered || !pools.repeats.take(attempt.service)) return false
         tries.secured = places.find(attempt, tries.avoid, untilMillis = 0, resumed = answer.started)
         if (tries.secured == null) pools.repeats.giveBack(attempt.service)
         return tries.secured != null
