Decode a second answer by the method of the request that it names

What a caller saw: 502 for a sound answer, when a second answer to HEAD came before it, or a second answer to another request before the one to HEAD.

Cause: whether an answer has a body was decided by the request that waits. The length in a second answer to HEAD was taken for that of a body, which swallowed the next head; the body behind a second answer to POST was read as a head. A connection remembers the methods of its last requests with their ids now, and the decoder asks for the one that the head names.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaCalls.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaCalls.kt
@@ -3,6 +3,7 @@
 import fireflyhinge.forward.PrefilledCache
 import fireflyhinge.forward.ReplicaState
 import fireflyhinge.gateway.http.AnswerMatch
+import fireflyhinge.gateway.http.AnswerMatcher
 import fireflyhinge.gateway.http.ConnectionPool
 import fireflyhinge.gateway.http.HttpCalls
 import fireflyhinge.gateway.http.Io
@@ -20,7 +21,7 @@
     private val dialect: PlaceDialect,
     private val replies: ReplicaDialect,
 ) {
-    private val calls = HttpCalls(pool, ::match)
+    private val calls = HttpCalls(pool, Matcher())
 
     /** Asks the replica to keep a place with memory for [tokens]. */
     suspend fun reserve(state: ReplicaState, tokens: Int): Reservation {
@@ -54,9 +55,12 @@
     fun release(cache: PrefilledCache) = forget(cache.address, dialect.releasePath(cache), DefaultHttpHeaders())
 
     /** Replicas echo the ids of callers' requests only, so an answer with an id is none to these calls. */
-    private fun match(head: HttpResponse): AnswerMatch {
-        val facts = replies.reply(head.status().code(), head.headers())
-        return if (facts.requestId == null) AnswerMatch.OWN else AnswerMatch.EARLIER
+    private inner class Matcher : AnswerMatcher {
+        override fun requestId(head: HttpResponse): String? =
+            replies.reply(head.status().code(), head.headers()).requestId
+
+        override fun match(head: HttpResponse): AnswerMatch =
+            if (requestId(head) == null) AnswerMatch.OWN else AnswerMatch.EARLIER
     }
 
     /** Nobody waits for the answer; replicas end by themselves what is not given up. */
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
@@ -3,6 +3,7 @@
 import fireflyhinge.forward.PrefilledCache
 import fireflyhinge.forward.ReplicaState
 import fireflyhinge.gateway.http.AnswerMatch
+import fireflyhinge.gateway.http.AnswerMatcher
 import fireflyhinge.gateway.http.CallerRequest
 import fireflyhinge.gateway.http.ConnectFailed
 import fireflyhinge.gateway.http.ConnectionPool
@@ -52,22 +53,28 @@
         val headers = dialect.request(request.headers, call)
         val id = dialect.requestId(request.headers)
         val sent = OutboundRequests.of(request.method, request.uri, headers, request.body)
-        connection.send(sent, id) { head -> match(head, id, call) }
+        connection.send(sent, id, Matcher(id, call))
         return connection.head()
     }
 
-    private fun match(head: HttpResponse, id: String?, call: ReplicaCall): AnswerMatch {
-        val facts = dialect.reply(head.status().code(), head.headers())
-        val success = head.status().codeClass() == HttpStatusClass.SUCCESS
-        return when {
-            facts.requestId == null -> AnswerMatch.UNIDENTIFIED
-            facts.requestId != id -> AnswerMatch.EARLIER
-            // Only the system sees the answer to a prefill.
-            success && !facts.stamped && !call.prefill -> AnswerMatch.UNIDENTIFIED
-            // Callers' requests allow no coding, so the body is not the replica's.
-            success && head.headers().contains(HttpHeaderNames.CONTENT_ENCODING) -> AnswerMatch.UNIDENTIFIED
-            else -> AnswerMatch.OWN
+    private inner class Matcher(private val id: String?, private val call: ReplicaCall) : AnswerMatcher {
+        override fun requestId(head: HttpResponse): String? = facts(head).requestId
+
+        override fun match(head: HttpResponse): AnswerMatch {
+            val facts = facts(head)
+            val success = head.status().codeClass() == HttpStatusClass.SUCCESS
+            return when {
+                facts.requestId == null -> AnswerMatch.UNIDENTIFIED
+                facts.requestId != id -> AnswerMatch.EARLIER
+                // Only the system sees the answer to a prefill.
+                success && !facts.stamped && !call.prefill -> AnswerMatch.UNIDENTIFIED
+                // Callers' requests allow no coding, so the body is not the replica's.
+                success && head.headers().contains(HttpHeaderNames.CONTENT_ENCODING) -> AnswerMatch.UNIDENTIFIED
+                else -> AnswerMatch.OWN
+            }
         }
+
+        private fun facts(head: HttpResponse) = dialect.reply(head.status().code(), head.headers())
     }
 
     /** The rest of an answer that began with [head]. */
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/AnswerDecoder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/AnswerDecoder.kt
@@ -4,7 +4,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
-import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.LastHttpContent
 
@@ -14,16 +14,17 @@
  */
 internal class AnswerDecoder : HttpResponseDecoder(config) {
     private var expecting = false
-    private var bodiless = false
     private var passedOver = 0L
     private var begun = false
     private var inHead = true
     private val head = HeadLines()
 
-    /** A request with [method] is about to be sent. */
-    fun expect(method: HttpMethod) {
+    /** Whether the answer with a head has no body whatever the head states, as that to a `HEAD` request. */
+    var bodiless: (HttpResponse) -> Boolean = { false }
+
+    /** A request is about to be sent. */
+    fun expect() {
         expecting = true
-        bodiless = method == HttpMethod.HEAD
         begun = false
         inHead = true
         head.reset()
@@ -70,7 +71,8 @@
         ctx.fireUserEventTriggered(UnexpectedBytes(reason))
     }
 
-    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = bodiless || super.isContentAlwaysEmpty(message)
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
+        (message is HttpResponse && bodiless(message)) || super.isContentAlwaysEmpty(message)
 
     private companion object {
         /** Bytes of a status line, of all headers, and of a piece of a body. */
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/AnswerMatch.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/AnswerMatch.kt
@@ -1,7 +1,5 @@
 package fireflyhinge.gateway.http
 
-import io.netty.handler.codec.http.HttpResponse
-
 /** Whose answer begins with a head. */
 internal enum class AnswerMatch {
     /** It answers the request that waits. */
@@ -13,6 +11,3 @@
     /** It does not say what it answers. */
     UNIDENTIFIED,
 }
-
-/** Tells from a head whether it answers the request that waits on a connection. */
-internal typealias AnswerMatcher = (HttpResponse) -> AnswerMatch
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
@@ -21,7 +21,7 @@
         val idle = ArrayDeque<OutboundConnection>()
 
         fun takeIdle(requestId: String?): OutboundConnection? {
-            val index = idle.indexOfLast { requestId == null || !it.hasCarried(requestId) }
+            val index = idle.indexOfLast { requestId == null || requestId !in it.carried }
             return if (index < 0) null else idle.removeAt(index)
         }
     }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpCalls.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpCalls.kt
@@ -12,7 +12,7 @@
  */
 internal class HttpCalls(
     private val pool: ConnectionPool,
-    private val answers: AnswerMatcher = { AnswerMatch.OWN },
+    private val answers: AnswerMatcher = AnswerMatcher.Any,
 ) {
     /**
      * Makes a call to [address] and reads the whole answer. Throws [IOException] if it does not come within [millis]. A
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
@@ -40,13 +41,16 @@
     private val decoder = channel.pipeline().get(AnswerDecoder::class.java)
     private val inbox = Queue<Item>(Queue.UNLIMITED)
     private var queuedBytes = 0
-    private val carried = RecentIds()
-    private var matcher: AnswerMatcher = { AnswerMatch.UNIDENTIFIED }
+    private var matcher: AnswerMatcher = AnswerMatcher.Any
+    private var method = HttpMethod.GET
     private var waiting: String? = null
     private var passedOver = 0
     private var keepAlive = true
     private var idleSince = System.nanoTime()
 
+    /** Requests that were sent on this connection. */
+    val carried = RecentRequests()
+
     /** Called once when the connection has closed. */
     var onClosed: () -> Unit = {}
 
@@ -55,6 +59,7 @@
         get() = channel.isActive && TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - idleSince) < idleLimitMillis
 
     init {
+        decoder.bodiless = ::bodiless
         channel.pipeline().addLast(Reader())
         channel.closeFuture().addListener { onClosed() }
     }
@@ -62,15 +67,19 @@
     /** Writes [request], whose id is [requestId] if it has one. [answers] tells which answer is its own. */
     suspend fun send(request: FullHttpRequest, requestId: String? = null, answers: AnswerMatcher) {
         matcher = answers
+        method = request.method()
         waiting = requestId
         passedOver = 0
-        requestId?.let(carried::add)
-        decoder.expect(request.method())
+        requestId?.let { carried.add(it, method) }
+        decoder.expect()
         channel.writeAndFlush(request).done()
     }
 
-    /** Whether request [requestId] was sent on this connection. */
-    fun hasCarried(requestId: String): Boolean = requestId in carried
+    /** An answer to an earlier request has a body as that request's method says. */
+    private fun bodiless(head: HttpResponse): Boolean {
+        val named = matcher.requestId(head)
+        return (if (named == null) method else carried.methodOf(named)) == HttpMethod.HEAD
+    }
 
     /** The head of the answer. Throws [IOException] if none comes. */
     suspend fun head(): HttpResponse =
@@ -154,7 +163,7 @@
                 return false
             }
             if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) return true
-            when (matcher(head)) {
+            when (matcher.match(head)) {
                 AnswerMatch.OWN -> take(head)
                 AnswerMatch.EARLIER -> if (passedOver++ == 0) line().log("passed over a stray answer")
                 AnswerMatch.UNIDENTIFIED -> {
