Pass over second answers to calls that carry no id

What a caller saw: 502 for a sound run at a replica that had answered a reservation twice.

Cause: an answer without an id closed the connection, as it says nothing about whose it is. On a connection that carried a call without an id it may be that call's second answer. As many of them as such calls were answered are passed over; none is taken for the request's own, so at worst the request waits until its time limit instead of failing at once.

AnswerOrderTest#aSecondAnswerToAReservationIsPassedOver failed before and passes now.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
@@ -44,6 +44,9 @@
     private var matcher: AnswerMatcher = AnswerMatcher.Any
     private var method = HttpMethod.GET
     private var waiting: String? = null
+
+    /** Requests without an id that were answered, each of which may be answered a second time. */
+    private var unnamed = 0
     private var passedOver = 0
     private var keepAlive = true
     private var idleSince = System.nanoTime()
@@ -119,6 +122,7 @@
 
     /** Ends the use of the connection after a whole answer. Returns whether it can be used again. */
     fun release(): Boolean {
+        if (waiting == null) unnamed++
         waiting = null
         idleSince = System.nanoTime()
         val clean = keepAlive && channel.isActive && inbox.tryReceive().getOrNull() == null
@@ -163,10 +167,12 @@
                 return false
             }
             if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) return true
-            when (matcher.match(head)) {
-                AnswerMatch.OWN -> take(head)
-                AnswerMatch.EARLIER -> if (passedOver++ == 0) line().log("passed over a stray answer")
-                AnswerMatch.UNIDENTIFIED -> {
+            val match = matcher.match(head)
+            when {
+                match == AnswerMatch.OWN -> take(head)
+                match == AnswerMatch.EARLIER || answersUnnamed(head) ->
+                    if (passedOver++ == 0) line().log("passed over a stray answer")
+                else -> {
                     breakOff(ctx, "an answer that names no request: ${head.status()} ${head.headers().names()}")
                     return false
                 }
@@ -174,6 +180,10 @@
             return true
         }
 
+        /** Whether [head] may begin a second answer to a request without an id. */
+        private fun answersUnnamed(head: HttpResponse): Boolean =
+            waiting != null && matcher.requestId(head) == null && unnamed-- > 0
+
         private fun take(head: HttpResponse) {
             passingOver = false
             decoder.begun()
