Send no two requests with one reservation

What a caller saw: a request that a replica refused or ran without its place, because a second answer to the reservation before was read as the answer to its own.

Cause: answers to these calls name no call, and the second of two reservations on a connection took whatever came first. A place is given once, so an answer with a place that came on the same connection before is a second one. The connection is closed, since the call's own answer is still to come on it, and the place is asked for once more.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaCalls.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaCalls.kt
@@ -7,6 +7,7 @@
 import fireflyhinge.gateway.http.ConnectionPool
 import fireflyhinge.gateway.http.HttpCalls
 import fireflyhinge.gateway.http.Io
+import fireflyhinge.gateway.http.RepeatedAnswer
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
@@ -23,22 +24,31 @@
 ) {
     private val calls = HttpCalls(pool, Matcher())
 
-    /** Asks the replica to keep a place with memory for [tokens]. */
-    suspend fun reserve(state: ReplicaState, tokens: Int): Reservation {
-        val (path, body) = dialect.reserve(tokens, RESERVATION_MILLIS)
-        val answer =
+    /** Asks the replica to keep a place with memory for [tokens]; once more if an earlier answer came a second time. */
+    suspend fun reserve(state: ReplicaState, tokens: Int): Reservation =
+        try {
             try {
-                calls.call(
-                    address = state.replica.address,
-                    method = "POST",
-                    path = path,
-                    body = body,
-                    headers = dialect.own(state.replica.id),
-                    millis = RESERVE_PATIENCE_MILLIS,
-                )
-            } catch (e: IOException) {
-                return Reservation.NoAnswer(e.message.orEmpty())
+                ask(state, tokens)
+            } catch (e: RepeatedAnswer) {
+                log.atInfo().addKeyValue("replica", state.replica.id).log("a call was answered twice: {}", e.message)
+                ask(state, tokens)
             }
+        } catch (e: IOException) {
+            Reservation.NoAnswer(e.message.orEmpty())
+        }
+
+    private suspend fun ask(state: ReplicaState, tokens: Int): Reservation {
+        val (path, body) = dialect.reserve(tokens, RESERVATION_MILLIS)
+        val answer =
+            calls.call(
+                address = state.replica.address,
+                method = "POST",
+                path = path,
+                body = body,
+                headers = dialect.own(state.replica.id),
+                millis = RESERVE_PATIENCE_MILLIS,
+                gives = { reply -> if (reply.status == OK) dialect.reservation(reply.body) else null },
+            )
         return when (answer.status) {
             OK -> dialect.reservation(answer.body)?.let { Reservation.Granted(it) } ?: Reservation.Unsupported
             FULL -> Reservation.Full
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpCalls.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpCalls.kt
@@ -17,6 +17,9 @@
     /**
      * Makes a call to [address] and reads the whole answer. Throws [IOException] if it does not come within [millis]. A
      * connection on which a call failed is not used again.
+     *
+     * @param gives reads an id that a server gives out once. An answer with one that came on the same connection before
+     * is a second answer to an earlier call, which throws [RepeatedAnswer].
      */
     suspend fun call(
         address: String,
@@ -25,6 +28,7 @@
         body: ByteArray = ByteArray(0),
         headers: HttpHeaders = DefaultHttpHeaders(),
         millis: Long,
+        gives: (HttpReply) -> String? = { null },
     ): HttpReply {
         var connection: OutboundConnection? = null
         var whole = false
@@ -34,7 +38,7 @@
                     val opened = pool.acquire(address).also { connection = it }
                     headers.set(HttpHeaderNames.HOST, address)
                     opened.send(OutboundRequests.of(method, path, headers, body), answers = answers)
-                    read(opened)
+                    read(opened).also { reply -> checkFirst(opened, gives(reply)) }
                 }
             whole = reply != null
             return reply ?: throw IOException("$address did not answer in $millis ms")
@@ -43,6 +47,10 @@
         }
     }
 
+    private fun checkFirst(connection: OutboundConnection, id: String?) {
+        if (id != null && !connection.given.add(id)) throw RepeatedAnswer("$id was given before")
+    }
+
     private suspend fun read(connection: OutboundConnection): HttpReply {
         val head = connection.head()
         return HttpReply(head.status().code(), connection.wholeBody())
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
@@ -54,6 +54,9 @@
     /** Requests that were sent on this connection. */
     val carried = RecentRequests()
 
+    /** Ids that answers to requests without an id gave out. */
+    val given = RecentIds()
+
     /** Called once when the connection has closed. */
     var onClosed: () -> Unit = {}
 
