Tell why an engine call of a test failed

HttpEngineClientTest#stoppedDecodeStaysHeldUntilCancelled failed once with a ClassCastException that hid the engine's failure.

--- a/daemon/src/test/kotlin/fireflyhinge/daemon/engine/EngineFixture.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/engine/EngineFixture.kt
@@ -68,6 +68,10 @@
     }
 }
 
-internal fun <T> EngineResult<T>.value(): T = (this as EngineResult.Ok<T>).value
+internal fun <T> EngineResult<T>.value(): T =
+    when (this) {
+        is EngineResult.Ok -> value
+        is EngineResult.Failed -> throw AssertionError("the engine call failed: $failure")
+    }
 
 internal fun EngineResult<*>.failure(): EngineFailure = (this as EngineResult.Failed).failure
