--- a/system-test/src/test/kotlin/fireflyhinge/systemtest/ConfigFaultTest.kt
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/ConfigFaultTest.kt
@@ -68,7 +68,7 @@
         val version = version(operator.setRate("vm-1", WORKSPACE, rate = 8e6))
         fleet.await("a VM holds an old version") { vms.all { (operator.heldBy(it, TARGET) ?: 0) >= version } }
         // Without the store a successor acts only once it has promised for 8 s; see "pair lease" in the design page.
-        Thread.sleep(PROMISE_MILLIS)
+        fleet.awaitSettledShards(PROMISE_MILLIS)
         fleet.withoutStore {
             fleet.restart("vm-4")
             val seen = mutableListOf<Long>()
--- a/system-test/src/test/kotlin/fireflyhinge/systemtest/FleetFaults.kt
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/FleetFaults.kt
@@ -33,12 +33,25 @@
 
 /** VM that owns the shard of [key], as the store has it. */
 internal fun Fleet.ownerOf(key: String): String {
-    val region = spec.vms.first().region
-    val stored = checkNotNull(read(store.listening, "/v1/objects/shards/$region"))
-    val map = Json.mapper.readTree(stored["value"].asText())
+    val map = Json.mapper.readTree(shardMap()["value"].asText())
     return map["shards"][ShardHash.shardOf(key, SHARDS)]["owner"]["vm"].asText()
 }
 
+/** Waits until the shard map has not changed for [millis], so that all successors have promised for as long. */
+internal fun Fleet.awaitSettledShards(millis: Long) {
+    var version = -1L
+    var since = System.nanoTime()
+    await("the shard map changes all the time") {
+        val now = shardMap()["version"].asLong()
+        if (now != version) since = System.nanoTime()
+        version = now
+        System.nanoTime() - since >= TimeUnit.MILLISECONDS.toNanos(millis)
+    }
+}
+
+private fun Fleet.shardMap(): JsonNode =
+    checkNotNull(read(store.listening, "/v1/objects/shards/${spec.vms.first().region}"))
+
 /** Runs [action] in a thread of its own. */
 internal fun <T> inBackground(action: () -> T): CompletableFuture<T> {
     val result = CompletableFuture<T>()
