Do not count a stream's first number as a step

What a caller could get: events 100, 101 from a replica that broke off, then 103 from the one that went on, and a sound end. A stream that broke off after its event 0 was not resumed with 1.

Cause: without a Last-Event-Id, the distance of the first number from zero was counted as a step between two events, so it set how far the next run might jump: up to 100 in a stream that begins with 100, nothing in one that begins with 0.

Ruled out: events that the next run repeats are passed over before the check, and the caller's own Last-Event-Id is an event before.

Change: a step counts between two events. After a single event, the first number tells the distance, at least one.

EventOrderTest#aRunThatGoesOnFollowsTheEventsBefore failed before in both new cases ("a high start", "one event, from zero") and passes now.

--- a/core/src/main/kotlin/fireflyhinge/forward/EventOrder.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/EventOrder.kt
@@ -15,7 +15,7 @@
         private set
 
     private var joining = false
-    private var longestStep = 0L
+    private var longestStep: Long? = null
 
     /** Another run begins, which goes on after the events so far. */
     fun runBegins() {
@@ -24,12 +24,14 @@
 
     /**
      * Whether [event], the first new one of a run that goes on, does not follow the events so far. The platform states
-     * only that numbers increase, so the longest step between the events so far tells how far apart two may be.
+     * only that numbers increase, so the longest step between the events so far tells how far apart two may be. After a
+     * single event, the first number of the stream tells it.
      */
     fun leavesGap(event: StreamEvent): Boolean {
         if (!joining) return false
         val number = event.number ?: return true
-        return number - (last ?: 0) > longestStep
+        val before = last ?: 0
+        return number - before > (longestStep ?: maxOf(before, 1))
     }
 
     /** Whether [event] may be handed on; false for one that the caller already has. */
@@ -40,7 +42,7 @@
         if (number == null) {
             numbered = false
         } else {
-            longestStep = maxOf(longestStep, number - (before ?: 0))
+            if (before != null) longestStep = maxOf(longestStep ?: 0, number - before)
             last = number
         }
         joining = false
--- a/core/src/test/kotlin/fireflyhinge/forward/EventOrderTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/EventOrderTest.kt
@@ -20,6 +20,8 @@
             Case("steps of ten", lastEvent = null, first = listOf(10, 20), second = listOf(30), gap = false),
             Case("an event without id", lastEvent = null, first = listOf(1, 2), second = listOf(null), gap = true),
             Case("after the caller's", lastEvent = 12, first = listOf(13), second = listOf(15), gap = true),
+            Case("a high start", lastEvent = null, first = listOf(100, 101), second = listOf(103), gap = true),
+            Case("one event, from zero", lastEvent = null, first = listOf(0), second = listOf(1), gap = false),
             Case("no event before", lastEvent = 12, first = emptyList(), second = listOf(15), gap = false),
         )
 
