Close a connection that is established for a cancelled request

What was seen: a connection stays open that no request uses and no pool knows.

Cause: if the coroutine is cancelled between the end of the connect and its resumption, the connect has succeeded, so the clean-up that asked for its success left the channel open. It takes one of the places of a replica until the replica closes it.

Ruled out: a cancelled caller whose connect is still going on; that channel was closed already.

Change: the channel is closed unless it was handed to the caller.

ConnectionPoolTest#aConnectionForACancelledRequestIsClosed failed before (no end of the connection in 2 s) and passes now.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
@@ -59,14 +59,16 @@
                 .also { boot -> SocketOptions.outbound.forEach { (option, value) -> boot.set(option, value) } }
                 .handler(Codec())
                 .connect(InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt()))
+        var taken = false
         try {
             future.done()
+            taken = true
         } catch (e: java.io.IOException) {
             val cause = future.cause() ?: e
             throw ConnectFailed("$address: ${cause.message}", refused = cause is ConnectException && cause !is Timeout)
         } finally {
-            // Cancelled while connecting: nobody would close the connection.
-            if (!future.isSuccess) future.channel().close()
+            // Nobody else closes it for a cancelled caller, even if it was established meanwhile.
+            if (!taken) future.channel().close()
         }
         return track(OutboundConnection(future.channel(), address, memory, unstatedIdleMillis), server)
     }
--- /dev/null
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/http/ConnectionPoolTest.kt
@@ -0,0 +1,47 @@
+package fireflyhinge.gateway.http
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.launch
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.Executors
+
+class ConnectionPoolTest {
+    /** Guards against connections that nobody closes because their request was cancelled as they were established. */
+    @Test
+    fun aConnectionForACancelledRequestIsClosed() {
+        val caller = Executors.newSingleThreadExecutor()
+        Io().use { io ->
+            ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
+                val address = "127.0.0.1:${server.localPort}"
+                val connecting = CountDownLatch(1)
+                io.loop.execute { connecting.await() }
+                val job = CoroutineScope(caller.asCoroutineDispatcher()).launch { ConnectionPool(io).acquire(address) }
+                caller.submit {}.get()
+                val resuming = CountDownLatch(1)
+                caller.execute { resuming.await() }
+                connecting.countDown()
+                server.accept().use { accepted ->
+                    Thread.sleep(ARRIVAL_MILLIS)
+                    job.cancel()
+                    resuming.countDown()
+                    accepted.soTimeout = CLOSE_MILLIS
+                    assertEquals(-1, accepted.getInputStream().read())
+                }
+            }
+        }
+        caller.shutdown()
+    }
+
+    private companion object {
+        /** Time for the loop to learn that a connection on loopback is established. */
+        const val ARRIVAL_MILLIS = 200L
+
+        /** Time for a connection to be closed. */
+        const val CLOSE_MILLIS = 2_000
+    }
+}
