Pass over only repetitions of answers that carry no id

What a caller saw: 504 after the whole time limit (8 s in the test) where a replica sent an answer without an id to the request itself.

Cause: each answered call without an id allowed one answer without an id to be passed over, whatever its head. A model request is sent on the connection of its reservation, so a spoiled answer to it was passed over and its own one never came.

Ruled out: taking the spoiled answer for the request's own; it has no id.

Change: a connection keeps the heads of answers to calls without an id, and passes over an answer without an id only if its status, length and fields are those of one of them, once for each.

AnswerIdentityTest#anAnswerWithoutAnIdBehindAReservationFailsAtOnce failed before (504 after 8,003 ms) and passes now (502). The second answers of AnswerOrderTest are passed over as before. A spoiled answer whose head is that of the reservation still makes the request wait.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
@@ -45,8 +45,8 @@
     private var method = HttpMethod.GET
     private var waiting: String? = null
 
-    /** Requests without an id that were answered, each of which may be answered a second time. */
-    private var unnamed = 0
+    /** Answers to requests without an id. */
+    private val unnamed = RecentHeads()
     private var passedOver = 0
     private var keepAlive = true
     private var idleSince = System.nanoTime()
@@ -125,7 +125,6 @@
 
     /** Ends the use of the connection after a whole answer. Returns whether it can be used again. */
     fun release(): Boolean {
-        if (waiting == null) unnamed++
         waiting = null
         idleSince = System.nanoTime()
         val clean = keepAlive && channel.isActive && inbox.tryReceive().getOrNull() == null
@@ -185,11 +184,12 @@
 
         /** Whether [head] may begin a second answer to a request without an id. */
         private fun answersUnnamed(head: HttpResponse): Boolean =
-            waiting != null && matcher.requestId(head) == null && unnamed-- > 0
+            waiting != null && matcher.requestId(head) == null && unnamed.remove(head)
 
         private fun take(head: HttpResponse) {
             passingOver = false
             decoder.begun()
+            if (waiting == null) unnamed.add(head)
             keepAlive = HttpUtil.isKeepAlive(head)
             noteIdleLimit(head)
             inbox.trySend(Item.Head(head))
