Do not take comments in a stream for events

What a caller could get: a stream that goes on at another replica is broken off if that replica begins with a comment, and a stream with a comment does not go on at all when its replica breaks off.

Cause: a block of lines that begin with a colon has no id, and an event without an id is taken for one that cannot be placed: between two runs it counts as a gap, and it marks the stream as one without ids. Neither rule is meant for comments, which are part of no event (HTML standard, 9.2.6).

Ruled out: a comment inside an event; its lines were read correctly.

Change: EventSplitter marks blocks that have only comments, and EventOrder hands them on without drawing anything from them.

EventOrderTest#commentsDoNotCountAsEvents failed before and passes now.

--- a/core/src/main/kotlin/fireflyhinge/forward/EventOrder.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/EventOrder.kt
@@ -28,7 +28,7 @@
      * single event, the first number of the stream tells it.
      */
     fun leavesGap(event: StreamEvent): Boolean {
-        if (!joining) return false
+        if (!joining || event.comment) return false
         val number = event.number ?: return true
         val before = last ?: 0
         return number - before > (longestStep ?: maxOf(before, 1))
@@ -36,6 +36,7 @@
 
     /** Whether [event] may be handed on; false for one that the caller already has. */
     fun accept(event: StreamEvent): Boolean {
+        if (event.comment) return true
         val number = event.number
         val before = last
         if (number != null && before != null && number <= before) return false
--- a/core/src/main/kotlin/fireflyhinge/forward/EventSplitter.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/EventSplitter.kt
@@ -10,6 +10,7 @@
     private val pending = ByteArrayOutputStream()
     private var lineLength = 0
     private var number: Long? = null
+    private var fields = false
     private val line = StringBuilder()
 
     /** Whether bytes of an event that is not whole are held. */
@@ -37,12 +38,14 @@
 
     private fun endLine(): StreamEvent? {
         if (lineLength == 0) {
-            val event = StreamEvent(number, pending.toByteArray())
+            val event = StreamEvent(number, pending.toByteArray(), comment = !fields)
             pending.reset()
             number = null
+            fields = false
             // An empty line between events belongs to no event.
             return event.takeIf { it.bytes.size > LONGEST_EMPTY_LINE }
         }
+        if (!line.startsWith(COMMENT)) fields = true
         if (line.startsWith(ID_FIELD)) number = line.substring(ID_FIELD.length).trim().toLongOrNull()
         line.setLength(0)
         lineLength = 0
@@ -53,6 +56,7 @@
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
+        const val COMMENT = ":"
 
         /** Characters of a line that are kept to read an id; longer lines are data. */
         const val MOST_ID_LINE = 64
--- a/core/src/test/kotlin/fireflyhinge/forward/EventOrderTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/EventOrderTest.kt
@@ -1,6 +1,7 @@
 package fireflyhinge.forward
 
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
 class EventOrderTest {
@@ -46,5 +47,19 @@
         assertEquals(numbers, numbers.filter { !order.leavesGap(event(it)) && order.accept(event(it)) })
     }
 
+    /** Guards against streams that are broken off, or cannot go on elsewhere, because of a comment between events. */
+    @Test
+    fun commentsDoNotCountAsEvents() {
+        val order = EventOrder(lastEvent = null)
+        val runs = listOf(": ping\n\nid: 1\ndata: a\n\n", ": ping\n\nid: 2\ndata: b\n\n")
+        val passed =
+            runs.flatMap { run ->
+                order.runBegins()
+                EventSplitter().add(run.toByteArray()).filter { !order.leavesGap(it) && order.accept(it) }
+            }
+        assertEquals(runs.joinToString(""), passed.joinToString("") { String(it.bytes) })
+        assertTrue(order.numbered)
+    }
+
     private fun event(number: Long?) = StreamEvent(number, ByteArray(0))
 }
