Take no answer without a place for the grant of one

What a caller could get: a run without its place at a replica that answered the call which gave up another place twice.

Cause: answers to these calls name no call. A second answer with status 200 and no place was read as that of a replica that keeps no places, and the request was sent without one; the answer with its place was left for the next call on the connection.

Ruled out: the place ids that a connection gave out before; this answer has none.

Change: the first answer with status 200 and no place closes the connection, and the place is asked for once more. A replica that grants none then either is taken for one that keeps none, as before.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaCalls.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaCalls.kt
@@ -28,16 +28,17 @@
     suspend fun reserve(state: ReplicaState, tokens: Int): Reservation =
         try {
             try {
-                ask(state, tokens)
+                ask(state, tokens) { it ?: throw RepeatedAnswer("no place in an answer that grants one") }
             } catch (e: RepeatedAnswer) {
                 log.atInfo().addKeyValue("replica", state.replica.id).log("a call was answered twice: {}", e.message)
-                ask(state, tokens)
+                ask(state, tokens) { it }
             }
         } catch (e: IOException) {
             Reservation.NoAnswer(e.message.orEmpty())
         }
 
-    private suspend fun ask(state: ReplicaState, tokens: Int): Reservation {
+    /** [check] is given the place that an answer grants, and throws if the answer cannot be that to this call. */
+    private suspend fun ask(state: ReplicaState, tokens: Int, check: (String?) -> String?): Reservation {
         val (path, body) = dialect.reserve(tokens, RESERVATION_MILLIS)
         val answer =
             calls.call(
@@ -47,7 +48,7 @@
                 body = body,
                 headers = dialect.own(state.replica.id),
                 millis = RESERVE_PATIENCE_MILLIS,
-                gives = { reply -> if (reply.status == OK) dialect.reservation(reply.body) else null },
+                gives = { reply -> if (reply.status == OK) check(dialect.reservation(reply.body)) else null },
             )
         return when (answer.status) {
             OK -> dialect.reservation(answer.body)?.let { Reservation.Granted(it) } ?: Reservation.Unsupported
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpCalls.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpCalls.kt
@@ -19,7 +19,7 @@
      * connection on which a call failed is not used again.
      *
      * @param gives reads an id that a server gives out once. An answer with one that came on the same connection before
-     * is a second answer to an earlier call, which throws [RepeatedAnswer].
+     * is a second answer to an earlier call, which throws [RepeatedAnswer], as [gives] may do itself.
      */
     suspend fun call(
         address: String,
