--- a/core/src/test/kotlin/fireflyhinge/forward/EventOrderTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/EventOrderTest.kt
@@ -1,6 +1,7 @@
 package fireflyhinge.forward
 
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
 class EventOrderTest {
@@ -20,6 +21,8 @@
             Case("steps of ten", lastEvent = null, first = listOf(10, 20), second = listOf(30), gap = false),
             Case("an event without id", lastEvent = null, first = listOf(1, 2), second = listOf(null), gap = true),
             Case("after the caller's", lastEvent = 12, first = listOf(13), second = listOf(15), gap = true),
+            Case("a high start", lastEvent = null, first = listOf(100, 101), second = listOf(103), gap = true),
+            Case("one event, from zero", lastEvent = null, first = listOf(0), second = listOf(1), gap = false),
             Case("no event before", lastEvent = 12, first = emptyList(), second = listOf(15), gap = false),
         )
 
@@ -44,5 +47,19 @@
         assertEquals(numbers, numbers.filter { !order.leavesGap(event(it)) && order.accept(event(it)) })
     }
 
+    /** Guards against streams that are broken off, or cannot go on elsewhere, because of a comment between events. */
+    @Test
+    fun commentsDoNotCountAsEvents() {
+        val order = EventOrder(lastEvent = null)
+        val runs = listOf(": ping\n\nid: 1\ndata: a\n\n", ": ping\n\nid: 2\ndata: b\n\n")
+        val passed =
+            runs.flatMap { run ->
+                order.runBegins()
+                EventSplitter().add(run.toByteArray()).filter { !order.leavesGap(it) && order.accept(it) }
+            }
+        assertEquals(runs.joinToString(""), passed.joinToString("") { String(it.bytes) })
+        assertTrue(order.numbered)
+    }
+
     private fun event(number: Long?) = StreamEvent(number, ByteArray(0))
 }
