Doubt absences only until the store's return is over

The entry was removed at 26.406 s without having been marked. All other VMs dropped the replica by 26.99 s. This VM read the removal at 27.100 s, but doubted all absences for 6 s after its last failed call and kept the replica another 2,200 ms from when it read of it. What is kept was dropped only between exchanges with other VMs: 29.432 s. The sum is up to 600 (gathering) + 2,200 + 450 (pause between exchanges) + 1,800 (one exchange and two copies, 600 each) = 5,050 ms without the time of a message.

Ruled out: a late watch (the removal was read 694 ms after it, with gathering 600), the history, a silent connection, other VMs (none sent anything late), a choice made long before (plain requests choose and send at once).

Change: an absent object is kept until 2,200 ms after the store's return (StoreOutage) and not for that long after each removal; removals after that hold at once. The first watch after an outage waits 100 ms only, since a watch that waits does not tell that the store is back: REPLICAS was found to be back with the first change, up to 1.2 s (here) to 25 s late. What is kept is dropped by a timer of its own. The longest pause between calls is 1,000 ms, so that 1.5 x 1,000 + 100 + 2,200 ms stay below contactMs, 4,000 ms. An absence that is seen again while it is kept lasts as long as it would have; a second listing without doubt used to drop it at once.

Three or more removals at once are still kept for 2,200 ms from when they are read: 600 + 2,200 = 2,800 ms without the time of a message.

--- a/core/src/main/kotlin/fireflyhinge/forward/FeedState.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/FeedState.kt
@@ -7,12 +7,12 @@
  * This VM's copy of the objects of one kind. Copies come from the store or from other VMs, and never go back to an
  * older revision. Thread-safe.
  *
- * An object that vanished while the store was away is kept for [graceMillis] after its return, since its writer may
- * still be alive and write it again.
+ * An object that vanished around an outage of the store is kept for a while, since its writer may still be alive and
+ * write it again.
  */
-class FeedState(private val graceMillis: Long, private val clock: MonotonicClock = MonotonicClock.SYSTEM) {
+class FeedState(private val clock: MonotonicClock = MonotonicClock.SYSTEM) {
     private var objects = emptyMap<String, FeedItem>()
-    private val missingSince = HashMap<String, Long>()
+    private val keptUntil = HashMap<String, Long>()
     private var held = 0L
 
     /** Revision of the copy; 0 before the first one. */
@@ -22,40 +22,49 @@
     @Synchronized
     fun items(): Map<String, FeedItem> = objects
 
-    /** Replaces the copy by a complete listing. [doubtful] says that absent objects may come back. */
+    /** Replaces the copy by a complete listing. Absent objects are kept for [keepMillis]. */
     @Synchronized
-    fun replace(items: List<FeedItem>, revision: Long, doubtful: Boolean): Boolean {
+    fun replace(items: List<FeedItem>, revision: Long, keepMillis: Long): Boolean {
         if (revision < held) return false
         val next = items.associateBy { it.name }
         val absent = objects.keys - next.keys
-        missingSince.keys.removeAll(next.keys)
-        val kept = if (doubtful) absent.onEach { missingSince.getOrPut(it) { clock.millis() } } else emptySet()
+        keptUntil.keys.removeAll(next.keys)
+        val kept = keep(absent, keepMillis)
         objects = next + objects.filterKeys { it in kept }
         held = revision
         return true
     }
 
-    /** Applies changes that follow the revision held. */
+    /** Applies changes that follow the revision held. Removed objects are kept for [keepMillis]. */
     @Synchronized
-    fun apply(changes: FeedAnswer.Changes, doubtful: Boolean): Boolean {
+    fun apply(changes: FeedAnswer.Changes, keepMillis: Long): Boolean {
         if (changes.revision < held) return false
-        val removed = if (doubtful) emptySet() else changes.removed
-        if (doubtful) changes.removed.filter { it in objects }.forEach { missingSince.getOrPut(it) { clock.millis() } }
+        val removed = changes.removed.filterTo(HashSet()) { it in objects }
         val changed = changes.changed.associateBy { it.name }
-        missingSince.keys.removeAll(changed.keys)
-        objects = objects + changed - removed
+        keptUntil.keys.removeAll(changed.keys)
+        objects = objects + changed - (removed - keep(removed, keepMillis))
         held = changes.revision
         return true
     }
 
+    /** Those of [absent] that are kept. An absence that was seen before lasts as long as it would have. */
+    private fun keep(absent: Set<String>, millis: Long): Set<String> {
+        if (millis > 0) absent.forEach { keptUntil.getOrPut(it) { clock.millis() + millis } }
+        return absent.filterTo(HashSet()) { it in keptUntil }
+    }
+
     /** Drops objects whose absence has lasted long enough. Returns whether any was dropped. */
     @Synchronized
     fun settle(): Boolean {
         val now = clock.millis()
-        val gone = missingSince.filterValues { now - it >= graceMillis }.keys.toSet()
+        val gone = keptUntil.filterValues { it <= now }.keys.toSet()
         if (gone.isEmpty()) return false
-        missingSince.keys.removeAll(gone)
+        keptUntil.keys.removeAll(gone)
         objects = objects - gone
         return true
     }
+
+    /** Milliseconds until [settle] has something to drop, at least 1; null if no absent object is kept. */
+    @Synchronized
+    fun millisToSettle(): Long? = keptUntil.values.minOrNull()?.let { maxOf(1, it - clock.millis()) }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Feed.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Feed.kt
@@ -3,8 +3,11 @@
 import fireflyhinge.forward.FeedAnswer
 import fireflyhinge.forward.FeedKind
 import fireflyhinge.forward.FeedState
+import fireflyhinge.forward.StoreOutage
 import fireflyhinge.gateway.http.nowMillis
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
 
@@ -17,15 +20,15 @@
 internal class Feed(
     val kind: FeedKind,
     private val store: PlatformStore,
+    private val scope: CoroutineScope,
     private val onChange: (FeedState) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger(javaClass)
 
     /** The copy. */
-    val state = FeedState(RETURN_MILLIS)
+    val state = FeedState()
 
-    private var failures = 0
-    private var troubledAt = Long.MIN_VALUE / 2
+    private val outage = StoreOutage(RETURN_MILLIS)
     private var behindSince: Long? = null
 
     /** Revision of the copy. */
@@ -35,17 +38,16 @@
     suspend fun run() {
         var listed = false
         while (true) {
-            val answer = if (listed) store.watch(kind, state.revision, WATCH_MILLIS) else store.list(kind)
+            // A watch that waits does not tell whether the store serves this VM again.
+            val wait = if (outage.failures > 0) RETURN_WATCH_MILLIS else WATCH_MILLIS
+            val answer = if (listed) store.watch(kind, state.revision, wait) else store.list(kind)
+            if (answer !is FeedAnswer.Unavailable) regained()
             when (answer) {
                 is FeedAnswer.Listing -> {
                     listed = true
-                    regained()
-                    if (state.replace(answer.items, answer.revision, doubtful())) changed("store list")
-                }
-                is FeedAnswer.Changes -> {
-                    regained()
-                    changes(answer)
+                    if (state.replace(answer.items, answer.revision, outage.keepMillis())) changed("store list")
                 }
+                is FeedAnswer.Changes -> changes(answer)
                 FeedAnswer.HistoryGone -> {
                     listed = false
                     log.atInfo().addKeyValue("kind", kind).log("the store dropped its history; listing anew")
@@ -57,8 +59,8 @@
 
     private suspend fun changes(answer: FeedAnswer.Changes) {
         if (answer.changed.isEmpty() && answer.removed.isEmpty()) return
-        val many = answer.removed.size >= MANY_REMOVED
-        if (state.apply(answer, doubtful() || many)) changed("store watch")
+        val keep = if (answer.removed.size >= MANY_REMOVED) RETURN_MILLIS else outage.keepMillis()
+        if (state.apply(answer, keep)) changed("store watch")
         // Changes come in bursts; the next watch then returns several at once.
         delay(GATHER_MILLIS)
     }
@@ -67,28 +69,31 @@
         log.atInfo().addKeyValue("kind", kind).addKeyValue("revision", state.revision).addKeyValue("source", source)
             .addKeyValue("objects", state.items().size).log("copy changed")
         onChange(state)
+        if (state.millisToSettle() != null) scope.launch { settle() }
+    }
+
+    /** Drops objects when their absence has become certain. */
+    private suspend fun settle() {
+        while (true) {
+            delay(state.millisToSettle() ?: return)
+            if (state.settle()) return changed("absence confirmed")
+        }
     }
 
     private fun regained() {
-        if (failures > 0) log.atInfo().addKeyValue("kind", kind).log("the store answers again")
-        failures = 0
+        if (outage.answered()) log.atInfo().addKeyValue("kind", kind).log("the store answers again")
     }
 
     private suspend fun lost(reason: String) {
-        if (failures == 0) log.atWarn().addKeyValue("kind", kind).addKeyValue("reason", reason).log("the store is lost")
-        failures++
-        troubledAt = nowMillis()
-        val pause = minOf(FIRST_PAUSE_MILLIS shl minOf(failures - 1, MAX_DOUBLINGS), LONGEST_PAUSE_MILLIS)
+        if (outage.failures == 0) {
+            log.atWarn().addKeyValue("kind", kind).addKeyValue("reason", reason).log("the store is lost")
+        }
+        outage.failed()
+        val doublings = minOf(outage.failures - 1, MAX_DOUBLINGS)
+        val pause = minOf(FIRST_PAUSE_MILLIS shl doublings, LONGEST_PAUSE_MILLIS)
         delay(pause / 2 + Random.nextLong(pause))
     }
 
-    private fun doubtful() = nowMillis() - troubledAt < DOUBT_MILLIS
-
-    /** Drops objects whose absence has become certain. */
-    fun settle() {
-        if (state.settle()) changed("absence confirmed")
-    }
-
     /**
      * Another VM has [theirs]. Returns whether its copy should be fetched: if the store does not serve this VM, or
      * this VM's watch has shown nothing newer for a while, which a silent connection would explain.
@@ -99,28 +104,28 @@
             return false
         }
         val since = behindSince ?: nowMillis().also { behindSince = it }
-        return failures > 0 || state.revision == 0L || nowMillis() - since > WATCH_LAG_MILLIS
+        return outage.failures > 0 || state.revision == 0L || nowMillis() - since > WATCH_LAG_MILLIS
     }
 
     /** Takes over the copy of another VM. */
     fun adopt(listing: FeedAnswer.Listing, vm: String) {
         if (listing.revision <= state.revision) return
-        if (state.replace(listing.items, listing.revision, doubtful())) changed("VM $vm")
+        if (state.replace(listing.items, listing.revision, outage.keepMillis())) changed("VM $vm")
     }
 
     private companion object {
         /** Time in which replicas that lost their entry in an outage write it again, with a margin. */
         const val RETURN_MILLIS = 2_200L
 
-        /** Absences after an outage are doubtful for as long as entries take to lapse and come back. */
-        const val DOUBT_MILLIS = 6_000L
-
         /** Entries of this many replicas do not end at once for reasons of their own. */
         const val MANY_REMOVED = 3
 
         /** A waiting watch is one priced call; silence of its connection is found by keep-alive probes. */
         const val WATCH_MILLIS = 25_000L
 
+        /** The first watch after an outage returns soon, since it tells that the store is back. */
+        const val RETURN_WATCH_MILLIS = 100L
+
         /**
          * Far below the three seconds in which a change must hold. Each watch that returns is a priced call of each VM,
          * and replicas come and go in groups.
@@ -133,7 +138,10 @@
         const val FIRST_PAUSE_MILLIS = 200L
         const val MAX_DOUBLINGS = 3
 
-        /** Below the two seconds in which replicas write their entries again after an outage. */
-        const val LONGEST_PAUSE_MILLIS = 1_600L
+        /**
+         * With half of it again, the wait of a watch and [RETURN_MILLIS] it is less than the platform's `contactMs`,
+         * 4 s after an outage, from which on removals must hold.
+         */
+        const val LONGEST_PAUSE_MILLIS = 1_000L
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
@@ -38,7 +38,6 @@
 
     private suspend fun round() {
         news.beat()
-        feeds.forEach { it.settle() }
         round++
         partner()?.let { exchange(it) }
     }
--- /dev/null
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/FeedTest.kt
@@ -0,0 +1,85 @@
+package fireflyhinge.gateway.fleet
+
+import fireflyhinge.forward.FeedAnswer
+import fireflyhinge.forward.FeedItem
+import fireflyhinge.forward.FeedKind
+import fireflyhinge.forward.VmRecord
+import fireflyhinge.gateway.http.nowMillis
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.TimeUnit
+
+class FeedTest {
+    private val scope = CoroutineScope(Dispatchers.Default)
+    private val copies = ArrayBlockingQueue<Pair<Long, Set<String>>>(16)
+    private val waits = ConcurrentLinkedQueue<Long>()
+
+    @AfterEach
+    fun stop() = scope.cancel()
+
+    /** Gives its answers in order, and then none. */
+    private inner class ScriptedStore(vararg answers: FeedAnswer) : PlatformStore {
+        private val left = ArrayDeque(answers.asList())
+
+        private suspend fun next(): FeedAnswer = left.removeFirstOrNull() ?: awaitCancellation()
+
+        override suspend fun list(kind: FeedKind): FeedAnswer = next()
+
+        override suspend fun watch(kind: FeedKind, revision: Long, waitMillis: Long): FeedAnswer {
+            waits += waitMillis
+            return next()
+        }
+
+        override suspend fun register(record: VmRecord) = true
+    }
+
+    private fun follow(vararg answers: FeedAnswer) {
+        val feed =
+            Feed(FeedKind.REPLICAS, ScriptedStore(*answers), scope) { copies.add(nowMillis() to it.items().keys) }
+        scope.launch { feed.run() }
+    }
+
+    private fun copy(): Pair<Long, Set<String>> =
+        checkNotNull(copies.poll(AWAIT_SECONDS, TimeUnit.SECONDS)) { "no copy" }
+
+    private fun listing(revision: Long, vararg names: String) =
+        FeedAnswer.Listing(names.map { FeedItem(it, revision, "{}") }, revision)
+
+    private fun changes(revision: Long, vararg removed: String) =
+        FeedAnswer.Changes(emptyList(), removed.toSet(), revision)
+
+    /** Guards against replicas that stay in use because nothing confirms their absence on time. */
+    @Test
+    fun absentObjectsAreDroppedOnTimeWithoutExchanges() {
+        follow(listing(1, "a", "b", "c", "d"), changes(2, "a", "b", "c"))
+        assertEquals(setOf("a", "b", "c", "d"), copy().second)
+        val (keptAt, kept) = copy()
+        assertEquals(setOf("a", "b", "c", "d"), kept)
+        val (droppedAt, left) = copy()
+        assertEquals(setOf("d"), left)
+        assertTrue(droppedAt - keptAt in 2_000..2_700) { "dropped after ${droppedAt - keptAt} ms" }
+    }
+
+    /** Guards against a return of the store that is noticed only with the next change, and so doubts it. */
+    @Test
+    fun theFirstWatchAfterAnOutageReturnsSoon() {
+        follow(listing(1, "a"), FeedAnswer.Unavailable("reset"), changes(1), changes(2, "a"))
+        repeat(2) { copy() }
+        val (first, second, third) = waits.toList()
+        assertTrue(second <= 500) { "waits $second ms" }
+        assertEquals(first, third)
+    }
+
+    private companion object {
+        const val AWAIT_SECONDS = 5L
+    }
+}
