Leave entries that are kept out of copies for other VMs

Seen: a VM that takes over a copy from another one may send requests to replicas whose entries are gone, without an end to it.

Cause: the copy held objects that the VM which gave it kept only because their absence was not certain yet. To the VM that took it they were present at that revision, so no later change of the store removes them; only a new listing does.

Ruled out: dropping by the VM that took the copy when the other one does, which would need a second copy at an unchanged revision.

Change: a copy for another VM is what the store would list. The VM that takes it keeps absent objects by its own view of the outage, as before.

--- a/core/src/main/kotlin/fireflyhinge/forward/FeedState.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/FeedState.kt
@@ -22,6 +22,13 @@
     @Synchronized
     fun items(): Map<String, FeedItem> = objects
 
+    /** The copy as the store would list it: without objects that are kept although they are absent. */
+    @Synchronized
+    fun listing(): FeedAnswer.Listing {
+        val present = objects.filterKeys { it !in keptUntil }
+        return FeedAnswer.Listing(present.values.toList(), held)
+    }
+
     /** Replaces the copy by a complete listing. Absent objects are kept for [keepMillis]. */
     @Synchronized
     fun replace(items: List<FeedItem>, revision: Long, keepMillis: Long): Boolean {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/ControlHandler.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/ControlHandler.kt
@@ -1,7 +1,6 @@
 package fireflyhinge.gateway.fleet
 
 import com.fasterxml.jackson.core.JsonProcessingException
-import fireflyhinge.forward.FeedAnswer
 import fireflyhinge.forward.ForwardConfig
 import fireflyhinge.forward.QuotaShares
 import fireflyhinge.gateway.http.AnswerWriter
@@ -41,7 +40,7 @@
             request.uri == QuotaLoans.REPAY_PATH -> EMPTY.also { repaid(request.body) }
             request.uri.startsWith(Gossip.FEED_PATH) ->
                 feeds.find { it.kind.name == request.uri.removePrefix(Gossip.FEED_PATH) }?.let {
-                    PeerMessages.encode(FeedAnswer.Listing(it.state.items().values.toList(), it.revision))
+                    PeerMessages.encode(it.state.listing())
                 }
             else -> null
         }
