Read no prompt again for a replica that began to leave

What a replica saw: a request seconds after it was marked as leaving.

Change: the second prefill asks the list of replicas first. A replica that left it, or leaves, gets no second send, and the request goes on elsewhere.

--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
@@ -17,6 +17,10 @@
     fun usable(service: String, stage: ReplicaStage): List<ReplicaState> =
         states.values.filter { it.replica.service == service && it.replica.stage == stage && !it.replica.leaving }
 
+    /** Whether [state] is that of a listed replica that may get new requests. */
+    @Synchronized
+    fun usable(state: ReplicaState): Boolean = states[state.replica.id] === state && !state.replica.leaving
+
     /** Tokens that this VM has at each replica, without those that have none. */
     @Synchronized
     fun tokens(): Map<String, Long> = states.mapValues { it.value.tokens }.filterValues { it > 0 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -97,8 +97,9 @@
         answer: AnswerWriter,
     ): Decoded {
         val result = readOnce(attempt, tries, place, answer)
-        // A cache that lapsed is read again for the same replica, which has room.
-        val again = result is Decoded.CacheLost && pools.repeats.take(attempt.service)
+        // A cache that lapsed is read again for the same replica, which has room, unless it began to leave meanwhile.
+        val wanted = result is Decoded.CacheLost && pools.table.usable(place.state)
+        val again = wanted && pools.repeats.take(attempt.service)
         return if (again) readOnce(attempt, tries, DecodePlace(place.state, reservation = null), answer) else result
     }
 
