Bound set-up calls of the engine tests by a hang, not by a speed

Cause: EngineFixture.prepare gave the KV import 800 ms and the prefilled KV cache 900 ms. Both are set-up; no test of the class checks them, and the time of a cold stand-in and client on a busy machine is no promise of the product.

Change: prefill and import of the fixture, and its KV expiry, last until an engine counts as hung (30 s). A call that fails or hangs still fails the test. Tests of deadlines keep their own short limits; the case of the expired KV cache has engines of its own whose expiry it waits for.

--- a/daemon/src/test/kotlin/fireflyhinge/daemon/engine/EngineFixture.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/engine/EngineFixture.kt
@@ -16,9 +16,15 @@
 import fireflyhinge.standin.EngineServer
 import fireflyhinge.standin.engine.EngineSettings
 
-/** A prefill and a decode engine with short times, and a client. */
+/** A prefill and a decode engine with short steps, and a client. */
 internal class EngineFixture(change: (EngineSettings) -> EngineSettings = { it }) : AutoCloseable {
-    private val fast = EngineSettings(role = UpstreamRole.PREFILL, prefillMicrosPerToken = 10, decodeStepMicros = 2_000)
+    private val fast =
+        EngineSettings(
+            role = UpstreamRole.PREFILL,
+            prefillMicrosPerToken = 10,
+            decodeStepMicros = 2_000,
+            kvExpiryMillis = HANG_MILLIS,
+        )
     val prefill = EngineServer(change(fast))
     val decode = EngineServer(change(fast.copy(role = UpstreamRole.DECODE)))
     private val http = OutboundHttp(traceparent = { TRACE })
@@ -28,14 +34,14 @@
         id: EngineRequestId = ID,
         messages: List<ChatMessage> = MESSAGES,
         resumed: List<String> = emptyList(),
-        timeoutMillis: Long = 3_000,
+        timeoutMillis: Long = HANG_MILLIS,
         scope: String = "w1",
     ): EngineResult<PrefillResult> {
         val request = PrefillRequest(id, HOLDER, "t1", "m", scope, messages, resumed)
         return client.prefill(prefill.address, request, timeoutMillis)
     }
 
-    fun import(kv: PrefillResult, timeoutMillis: Long = 800): EngineResult<Unit> {
+    fun import(kv: PrefillResult, timeoutMillis: Long = HANG_MILLIS): EngineResult<Unit> {
         val request = ImportRequest(kv.id, HOLDER, "t1", sourceAddress = prefill.address, kvHandle = kv.kvHandle)
         return client.importKv(decode.address, request, timeoutMillis)
     }
@@ -59,6 +65,8 @@
     }
 
     companion object {
+        /** Time after which an engine counts as hung: no promise covers the speed of a stand-in on a busy machine. */
+        const val HANG_MILLIS = 30_000L
         const val TRACE = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
         const val MAX_TOKENS = 100
         val ID = EngineRequestId(request = "r1", attempt = 1)
--- a/daemon/src/test/kotlin/fireflyhinge/daemon/engine/HttpEngineClientTest.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/engine/HttpEngineClientTest.kt
@@ -123,10 +123,12 @@
             f.prefill.faults.stallTransfers = true
             f.import(f.prefill().value(), timeoutMillis = 300)
         }
-        val expired: (EngineFixture) -> EngineResult<*> = { f ->
-            f.prefill().value().let { kv ->
-                Thread.sleep(kv.expiresInMillis + 50)
-                f.import(kv)
+        val expired: (EngineFixture) -> EngineResult<*> = { _ ->
+            EngineFixture(change = SHORT_EXPIRY).use { f ->
+                f.prefill().value().let { kv ->
+                    Thread.sleep(kv.expiresInMillis + 50)
+                    f.import(kv)
+                }
             }
         }
         val full: (EngineFixture) -> EngineResult<*> = { f ->
@@ -269,5 +271,8 @@
     private companion object {
         /** Steps so slow that a fault at the first token always comes before the end. */
         val SLOW_STEPS = { settings: EngineSettings -> settings.copy(decodeStepMicros = 50_000) }
+
+        /** Expiry that a test can wait for. */
+        val SHORT_EXPIRY = { settings: EngineSettings -> settings.copy(kvExpiryMillis = 100) }
     }
 }
