Repeat failed KV transfers while an interactive request has time

Cause: a transfer has 0.8 s, and three attempts were used up by transfers alone. Trace with a time-stamping decode stand-in (trial, LeavingTest, load 38 at its start; 2 of 3 tests failed): the first import of an engine took 0.26 to 0.59 s with nothing before it, and those that came with it waited for the link, 0.3 s in the median and up to 0.75 s, 1.2 s in the next second. So both are true: a cold import is slow, and the others queue behind it. Ruled out: the exporting side, at most 0.12 s an export until then. 18 requests had three failed attempts.

Change: attempts whose transfer broke, timed out or found the KV cache expired are repeated until the request is 10 s old, up to 12 in all (as many as time out in that time). Others still count, three in all; a crash is counted as before. Each repeat costs a prefill and takes a retry from the budgets, which bounds the work of a pool whose transfers all fail.

The 147 tests of the classes that use engines and the pipeline passed in one run, and the 98 tests of the package caller in another.

--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/AttemptResult.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/AttemptResult.kt
@@ -7,12 +7,17 @@
     /** The answer is complete. [ended] tells that the engine sent its explicit end and so holds nothing more. */
     data class Done(val finishReason: String, val ended: Boolean) : AttemptResult
 
-    /** The replica [replica] at [address] failed; another attempt may succeed and should not use [avoid]. */
+    /**
+     * The replica [replica] at [address] failed; another attempt may succeed and should not use [avoid].
+     *
+     * @property transfer whether the KV cache did not reach the decode replica in time.
+     */
     data class Failed(
         val replica: String,
         val address: String,
         val failure: EngineFailure,
         val avoid: Set<String> = setOf(replica),
+        val transfer: Boolean = false,
     ) : AttemptResult
 
     /** The replica [replica] is leaving and must not get the request, of which it holds nothing yet. */
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/CrashTally.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/CrashTally.kt
@@ -9,6 +9,7 @@
  */
 internal class CrashTally(private val earlier: Int) {
     private val verdicts = ArrayList<CompletableFuture<Boolean>>()
+    private val transfers = ArrayList<CompletableFuture<Boolean>>()
 
     /** Crashes known so far. */
     val crashes: Int get() = earlier + verdicts.count { it.getNow(false) }
@@ -16,14 +17,18 @@
     /** Failed attempts that are not known to be crashes. */
     val otherFailures: Int get() = verdicts.count { !it.getNow(false) }
 
+    /** Those of [otherFailures] in which the KV transfer failed. */
+    val failedTransfers: Int get() = transfers.count { !it.getNow(false) }
+
     /** Failed attempts whose verdict is not reached. */
     val undecided: Int get() = verdicts.count { !it.isDone }
 
     /** Whether the request is barred if each undecided attempt was a crash. */
     val mayBeBarred: Boolean get() = CrashLevel.of(earlier + verdicts.count { it.getNow(true) }) == CrashLevel.BARRED
 
-    /** Adds a failed attempt with the verdict whether it was a crash. */
-    fun failed(verdict: CompletableFuture<Boolean>) {
+    /** Adds an attempt that failed, at the KV [transfer] or elsewhere, with the verdict whether it was a crash. */
+    fun failed(verdict: CompletableFuture<Boolean>, transfer: Boolean) {
         verdicts += verdict
+        if (transfer) transfers += verdict
     }
 }
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelRun.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/ModelRun.kt
@@ -28,11 +28,12 @@
 
     /**
      * Tries until the request has ended or its attempts are used up. Crashes use up no attempts, because the third one
-     * ends the request.
+     * ends the request. Failed KV transfers use up none while there is time: the engines of a pool that has just
+     * started may be slower than the limit of a transfer several times in a row.
      */
     fun run(cleanup: EngineCleanup, detector: CrashDetector): ModelResult {
         var number = 0
-        while (expired + tally.otherFailures < limits.attempts(job.priority)) {
+        while (limits.mayRetry(job, ports.clock.millis(), expired + tally.otherFailures, tally.failedTransfers)) {
             number++
             attempt(number, cleanup, detector)?.let { return it }
         }
@@ -72,7 +73,7 @@
         last = result
         avoid = avoid + result.avoid
         val verdict = watch.verdict(job, result)
-        tally.failed(verdict)
+        tally.failed(verdict, result.transfer)
         val crashed = within(limits.crashProbeMillis, verdict)
         paced = !crashed && !result.failure.ranNothing()
         log.warn(
--- a/daemon/src/main/kotlin/fireflyhinge/daemon/caller/PipelineLimits.kt
+++ b/daemon/src/main/kotlin/fireflyhinge/daemon/caller/PipelineLimits.kt
@@ -8,6 +8,8 @@
  * @property attempts placements tried for an interactive request.
  * @property batchAttempts placements tried for a batch request, which may wait but must not be lost. Crashes are
  * bounded more tightly, by crash attribution.
+ * @property transferAttempts placements tried for an interactive request while KV transfers fail: as many as time out
+ * one after another within [interactiveRetryMillis]. Each costs a prefill and is paced by the retry budget.
  * @property firstTokenMillis target for the first token; an interactive request that cannot meet it is served late.
  * @property lateMillis time after the arrival at which an interactive request without a placement is refused.
  * @property chargeMillis longest wait of an interactive request for its tokens.
@@ -27,6 +29,7 @@
 data class PipelineLimits(
     val attempts: Int = 3,
     val batchAttempts: Int = 20,
+    val transferAttempts: Int = 12,
     val firstTokenMillis: Long = 1300,
     val lateMillis: Long = 10_000,
     val chargeMillis: Long = 1000,
@@ -43,6 +46,14 @@
     /** Placements tried for one request. */
     fun attempts(priority: Priority): Int = if (priority == Priority.BATCH) batchAttempts else attempts
 
+    /** Whether [job] may be tried again after [failures], of which [transfers] were failed KV transfers. */
+    fun mayRetry(job: ModelJob, nowMillis: Long, failures: Int, transfers: Int): Boolean {
+        val allowed = attempts(job.priority)
+        val inTime = nowMillis <= job.arrivedMillis + retryWait(job.priority)
+        val repeatable = inTime && failures - transfers < allowed && failures < maxOf(allowed, transferAttempts)
+        return failures < allowed || repeatable
+    }
+
     /** Longest wait for a charge. */
     fun chargeWait(priority: Priority): Long = if (priority == Priority.BATCH) batchMillis else chargeMillis
 
