End the processes of a fleet with the JVM that started them

Cause: a fleet whose start fails is not closed, because its owner never gets it. A process is ended by a shutdown hook now, whoever holds it. Ruled out: closing in Fleet.start only, since the processes that the constructor starts come before it.

--- a/system-test/src/main/kotlin/fireflyhinge/systemtest/ManagedProcess.kt
+++ b/system-test/src/main/kotlin/fireflyhinge/systemtest/ManagedProcess.kt
@@ -5,11 +5,12 @@
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 
 /**
  * A process of the system under test. Its output goes to [log]. The first output line that has a `listening` field
- * tells that it accepts connections.
+ * tells that it accepts connections. It ends with this JVM at the latest.
  */
 class ManagedProcess private constructor(val name: String, private val process: Process, val log: Path) :
     AutoCloseable {
@@ -69,6 +70,11 @@
         private const val START_WAIT_SECONDS = 30L
         private const val EXIT_WAIT_SECONDS = 10L
         private const val POLL_MILLIS = 20L
+        private val running = ConcurrentHashMap.newKeySet<Process>()
+
+        init {
+            Runtime.getRuntime().addShutdownHook(Thread { running.forEach(Process::destroyForcibly) })
+        }
 
         /** Starts [command] with [environment] added and waits until it listens. */
         fun start(
@@ -81,7 +87,10 @@
             val log = Files.createTempFile(directory, "$name-", ".log")
             val builder = ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile())
             builder.environment().putAll(environment)
-            return ManagedProcess(name, builder.start(), log).also { it.awaitAnnouncement() }
+            val process = builder.start()
+            running += process
+            process.onExit().thenRun { running -= process }
+            return ManagedProcess(name, process, log).also { it.awaitAnnouncement() }
         }
     }
 }
