Keep the connection open after the last bytes of a response are written

Cause: after a pause of the process the time limit of a request can be due together with the completion of its last write. The limit ran first, cancelled the wait in finish() or respond() and aborted the response, which closed the connection although the caller had the whole response and may have sent its next request.

Change: a response counts as complete as soon as its last bytes are handed to the connection and the write has not failed; abort() of a complete response does nothing, and the request is logged as streamed instead of broken off.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Forwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Forwarder.kt
@@ -121,10 +121,10 @@
     }
 
     private suspend fun failTimedOut(context: RequestContext, response: ResponseWriter) =
-        if (response.started) {
-            abort(context, response, "deadline exceeded")
-        } else {
-            fail(context, FailureMapper.timedOut(context), response)
+        when {
+            response.complete -> requestLog.ended(context, "streamed")
+            response.started -> abort(context, response, "deadline exceeded")
+            else -> fail(context, FailureMapper.timedOut(context), response)
         }
 
     private fun abort(context: RequestContext, response: ResponseWriter, reason: String) {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/ChannelResponseWriter.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/ChannelResponseWriter.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -9,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import java.io.IOException
 
 /** Writes one response to [channel]. [keepAlive] tells whether the connection may stay open after it. */
 internal class ChannelResponseWriter(private val channel: Channel, private val keepAlive: () -> Boolean) :
@@ -19,8 +21,7 @@
     /** Whether the connection is open. */
     val open: Boolean get() = channel.isActive
 
-    /** Whether the complete response was written. */
-    var complete = false
+    override var complete = false
         private set
 
     /** Whether the connection may carry another request. */
@@ -31,8 +32,7 @@
         val response = fullResponse(status, headers, body)
         setConnectionHeader(response.headers())
         started = true
-        channel.writeAndFlush(response).awaitCompletion()
-        complete = true
+        awaitEnd(channel.writeAndFlush(response))
     }
 
     override suspend fun start(status: Int, headers: HttpHeaders) {
@@ -49,12 +49,22 @@
     }
 
     override suspend fun finish() {
-        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).awaitCompletion()
-        complete = true
+        awaitEnd(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
+    }
+
+    /** Completes the response before [last] is confirmed: the caller may have the last bytes by now. */
+    private suspend fun awaitEnd(last: ChannelFuture) {
+        complete = last.cause() == null
+        try {
+            last.awaitCompletion()
+        } catch (e: IOException) {
+            complete = false
+            throw e
+        }
     }
 
     override fun abort() {
-        channel.close()
+        if (!complete) channel.close()
     }
 
     private fun setConnectionHeader(headers: HttpHeaders) {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/ResponseWriter.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/ResponseWriter.kt
@@ -7,6 +7,9 @@
     /** Whether bytes of the response may have been sent. */
     val started: Boolean
 
+    /** Whether the last bytes of the response were handed to the connection; the caller may have all of it. */
+    val complete: Boolean
+
     /** Writes a complete response. */
     suspend fun respond(status: Int, headers: HttpHeaders, body: ByteArray)
 
@@ -19,6 +22,6 @@
     /** Completes a started response. */
     suspend fun finish()
 
-    /** Closes the connection, so that the caller detects a started response as incomplete. */
+    /** Closes the connection, so that the caller detects a response that is not [complete] as truncated. */
     fun abort()
 }
