Send nothing to replicas that leave or asked for a pause

Cause: only the list of replicas told that one leaves, and its refusals told nothing beyond 'full for 100 ms'. A replica that announces in its responses that it leaves (the platform: Server-Leaving) kept getting requests while the list was silent, and one that refuses with a Retry-After was tried again at once, without end. Callers got refusals with a Retry-After of 0.2 s for them.

Change: ReplicaAvailability holds what one incarnation said, beside its health: leaving ends only with the process (also if its entry lapses and returns, or is listed as leaving only for a while), a pause ends at its time. ReplicaTable offers no replica that does not accept requests, so first sends, retries, hedges, prefills, reservations, resumptions and failovers all keep away; a run whose decode replica asked for a pause meanwhile is not sent. Every response head (ReplicaSender, ReservationClient) goes through ReplicaNotices, which logs a notice once and counts it. If no replica wants a request, it is refused at once with a Retry-After that follows from the pauses.

Not held back: releases of reservations and KV caches, which free capacity. What one VM learns is not passed to others.

--- /dev/null
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaAvailability.kt
@@ -0,0 +1,42 @@
+package fireflyhinge.forward
+
+import fireflyhinge.time.MonotonicClock
+import fireflyhinge.time.millis
+
+/**
+ * What one incarnation of a replica said about new requests of this VM. Unlike [ReplicaHealth], a later response never
+ * revokes it. Thread-safe.
+ */
+class ReplicaAvailability(private val clock: MonotonicClock) {
+    private var backoffUntil = Long.MIN_VALUE
+
+    /** Whether the replica announced that it leaves. It keeps running the requests that it has. */
+    @get:Synchronized
+    var leaving = false
+        private set
+
+    /** Milliseconds until the replica wants requests again, or 0. */
+    val backoffMillis: Long
+        @Synchronized get() = clock.millis().let { now -> if (backoffUntil <= now) 0 else backoffUntil - now }
+
+    /** Records that the replica leaves. Returns whether that is news. */
+    @Synchronized
+    fun announceLeaving(): Boolean = !leaving.also { leaving = true }
+
+    /**
+     * Records that the replica wants no requests for [millis], of which at most [MAX_BACKOFF_MILLIS] count. A shorter
+     * backoff does not end a longer one. Returns whether the replica wanted requests until now.
+     */
+    @Synchronized
+    fun requestBackoff(millis: Long): Boolean {
+        val news = backoffMillis == 0L
+        backoffUntil = maxOf(backoffUntil, clock.millis() + millis.coerceIn(0, MAX_BACKOFF_MILLIS))
+        return news && backoffMillis > 0
+    }
+
+    /** Bounds of what a replica may ask for. */
+    companion object {
+        /** A replica that states an absurd time is tried again after this one. */
+        const val MAX_BACKOFF_MILLIS = 300_000L
+    }
+}
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaSelector.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaSelector.kt
@@ -25,12 +25,15 @@
         near: String? = null,
     ): ReplicaState? {
         val all = table.usable(service, stage).filter { it.replica.id !in avoid }
-        val reachable = if (near == null) all else all.filter { domains.distance(it.replica.failureDomain, near) < 2 }
+        val reachable = if (near == null) all else all.filter { inRegion(it, near) }
         val healthy = reachable.filterNot { it.unresponsive }
         // Falls back to full replicas, which may queue the request, and then to unresponsive ones.
         return best(service, healthy.filterNot { it.full }.ifEmpty { healthy }.ifEmpty { reachable }, near)
     }
 
+    /** Whether the replica of [state] is in the region of the failure domain [near]. */
+    fun inRegion(state: ReplicaState, near: String): Boolean = domains.distance(state.replica.failureDomain, near) < 2
+
     /**
      * Returns the best decode replica of [service], not in [avoid], with capacity for [tokens]; null if there is none.
      * [resumed] responses, which continue at another replica, may use memory that is reserved from new ones.
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
@@ -9,7 +9,13 @@
     /** The most recently listed description of the replica. */
     @Volatile
     var replica: Replica = replica
-        internal set
+        internal set(next) {
+            if (field.leaving) availability.announceLeaving()
+            field = next
+        }
+
+    /** What the replica said about new requests of this VM. */
+    val availability = ReplicaAvailability(clock)
 
     private var inFlight = 0
     private var ownTokens = 0L
@@ -71,6 +77,12 @@
     @Synchronized
     fun recordNoResponse() = health.recordNoResponse(clock.millis())
 
+    /** Whether the replica is listed as leaving or announced it. That holds until its process ends. */
+    val leaving: Boolean get() = replica.leaving || availability.leaving
+
+    /** Whether the replica accepts new requests of this VM. */
+    val accepting: Boolean get() = !leaving && availability.backoffMillis == 0L
+
     /** Whether the replica is in backoff because it recently did not respond. */
     val unresponsive: Boolean @Synchronized get() = health.inBackoff(clock.millis())
 
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
@@ -6,20 +6,47 @@
 class ReplicaTable(private val clock: MonotonicClock = MonotonicClock.SYSTEM) {
     private var states = emptyMap<String, ReplicaState>()
 
+    /** Replicas whose entries are gone although their processes may run on, oldest first; entries may return. */
+    private val unlisted = LinkedHashMap<String, ReplicaState>()
+
     /** Replaces the list of replicas and retains the state of unchanged processes. */
     @Synchronized
     fun replace(replicas: Collection<Replica>) {
+        val before = states
         states = replicas.associate { it.id to stateOf(it) }
+        before.filterKeys { it !in states }.filterValues { !it.accepting }.forEach(unlisted::put)
+        unlisted.keys -= states.keys
+        unlisted.keys -= unlisted.keys.take(maxOf(0, unlisted.size - MAX_UNLISTED)).toSet()
     }
 
     /** Replicas of [service] at [stage] that accept new requests. */
     @Synchronized
     fun usable(service: String, stage: ReplicaStage): List<ReplicaState> =
-        states.values.filter { it.replica.service == service && it.replica.stage == stage && !it.replica.leaving }
+        listed(service, stage).filter { it.accepting }
 
     /** Whether [state] belongs to a listed replica that accepts new requests. */
     @Synchronized
-    fun usable(state: ReplicaState): Boolean = states[state.replica.id] === state && !state.replica.leaving
+    fun usable(state: ReplicaState): Boolean = states[state.replica.id] === state && state.accepting
+
+    /** Replicas of [service] at [stage] that stay but want no requests of this VM for a while. */
+    @Synchronized
+    fun backingOff(service: String, stage: ReplicaStage): List<ReplicaState> =
+        listed(service, stage).filter { !it.leaving && it.availability.backoffMillis > 0 }
+
+    /**
+     * Milliseconds until a replica of [service] at [stage] accepts requests again. Null if one does now, or if it is
+     * unknown when one will.
+     */
+    @Synchronized
+    fun backoffMillis(service: String, stage: ReplicaStage): Long? =
+        if (usable(service, stage).isEmpty()) {
+            backingOff(service, stage).minOfOrNull { it.availability.backoffMillis }
+        } else {
+            null
+        }
+
+    private fun listed(service: String, stage: ReplicaStage) =
+        states.values.filter { it.replica.service == service && it.replica.stage == stage }
 
     /** Tokens of this VM at each replica; replicas without tokens are omitted. */
     @Synchronized
@@ -39,11 +66,16 @@
     val size: Int @Synchronized get() = states.size
 
     private fun stateOf(replica: Replica): ReplicaState {
-        val known = states[replica.id]
+        val known = states[replica.id] ?: unlisted[replica.id]
         val same = known != null && known.replica.startedAt == replica.startedAt &&
             known.replica.address == replica.address
         if (!same) return ReplicaState(replica, clock)
         known.replica = replica
         return known
     }
+
+    private companion object {
+        /** Far more than the replicas that end within the time in which an entry may return. */
+        const val MAX_UNLISTED = 1_000
+    }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -24,6 +24,7 @@
 import fireflyhinge.gateway.forward.Forwarder
 import fireflyhinge.gateway.forward.PlainForwarder
 import fireflyhinge.gateway.forward.QuotaCharger
+import fireflyhinge.gateway.forward.ReplicaNotices
 import fireflyhinge.gateway.forward.ReplicaRouting
 import fireflyhinge.gateway.forward.ReplicaSender
 import fireflyhinge.gateway.forward.RequestLog
@@ -63,8 +64,9 @@
         }
     private val routing = ReplicaRouting(table, ReplicaSelector(table, domains, ::memoryOf), retries)
     private val replicaPool = ConnectionPool(io)
-    private val sender = ReplicaSender(replicaPool, protocols.replicas)
-    private val replicaCalls = ReservationClient(io, replicaPool, protocols.reservations, protocols.replicas)
+    private val notices = ReplicaNotices(registry)
+    private val sender = ReplicaSender(replicaPool, protocols.replicas, notices)
+    private val replicaCalls = ReservationClient(io, replicaPool, protocols.reservations, protocols.replicas, notices)
     private val startedAt = monotonicMillis()
 
     @Volatile
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
@@ -38,7 +38,7 @@
         try {
             sender.use(state, context.request, context.metadata.expectedKvTokens) { connection ->
                 withLivenessWatch(connection) {
-                    val head = sender.begin(connection, context.request, call)
+                    val head = sender.begin(state, connection, context.request, call)
                     read(state, connection, head)
                 }
             }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
@@ -30,9 +30,9 @@
         /** Unexpected exception thrown by a send. */
         var unexpected: Throwable? = null
 
-        fun failed(): ForwardResult {
+        fun failed(refusal: (Outcome.Failure) -> Outcome.Failure): ForwardResult {
             errorResponse?.let { return it }
-            throw unexpected ?: return ForwardResult.Failed(lastFailure)
+            throw unexpected ?: return ForwardResult.Failed(refusal(lastFailure))
         }
     }
 
@@ -45,7 +45,9 @@
     private suspend fun run(context: RequestContext, attempts: Attempts): ForwardResult {
         while (true) {
             if (mayAttempt(context, attempts)) next(context, attempts)?.let { send(context, attempts, it) }
-            if (attempts.race.size == 0) return attempts.failed()
+            if (attempts.race.size == 0) {
+                return attempts.failed { routing.withKnownRetryAfter(it, context.service, listOf(ReplicaStage.PLAIN)) }
+            }
             val sent = attempts.race.next(hedgeDelay(context, attempts))
             if (sent == null) {
                 recordUnresponsive(context, attempts)
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
@@ -16,7 +16,8 @@
         val avoid = HashSet<String>()
         repeat(MAX_ATTEMPTS) { number ->
             val state = routing.selector.select(context.service, ReplicaStage.PREFILL, avoid, near)
-            state ?: return if (number == 0) PrefillResult.NoReplica else PrefillResult.Failed
+            val listed = number > 0 || backingOff(context, near)
+            state ?: return if (listed) PrefillResult.Failed else PrefillResult.NoReplica
             if ((retry || number > 0) && !routing.retries.tryAcquire(context.service)) return PrefillResult.Failed
             avoid += state.replica.id
             val another = number + 1 < MAX_ATTEMPTS && routing.retries.isAvailable(context.service) &&
@@ -27,6 +28,10 @@
         return PrefillResult.Failed
     }
 
+    /** Whether there are prefill replicas in the region of [near] that want no requests for a while. */
+    private fun backingOff(context: RequestContext, near: String): Boolean =
+        routing.table.backingOff(context.service, ReplicaStage.PREFILL).any { routing.selector.inRegion(it, near) }
+
     private suspend fun send(context: RequestContext, state: ReplicaState, timeoutMillis: Long): KvCacheLocation? {
         val call =
             ReplicaRequestOptions(
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaNotices.kt
@@ -0,0 +1,47 @@
+package fireflyhinge.gateway.forward
+
+import fireflyhinge.forward.ReplicaState
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.slf4j.LoggerFactory
+
+/** Records what replicas say about further requests in their responses, logs it once and counts it. */
+internal class ReplicaNotices(registry: PrometheusRegistry) {
+    private val leaving =
+        Counter
+            .builder()
+            .name("fireflyhinge_replicas_leaving_total")
+            .help("Replicas that announced in a response that they leave.")
+            .labelNames("service")
+            .register(registry)
+    private val backoffs =
+        Counter
+            .builder()
+            .name("fireflyhinge_replica_backoffs_total")
+            .help("Times at which a replica refused a request and asked for a pause.")
+            .labelNames("service")
+            .register(registry)
+
+    /** Records the notices in a response of [state]'s replica with [metadata]. */
+    fun record(state: ReplicaState, metadata: ReplicaResponseMetadata) {
+        val service = state.replica.service
+        if (metadata.leaving && state.availability.announceLeaving()) {
+            leaving.labelValues(service).inc()
+            event(state).log("replica announced that it leaves; it gets no new requests")
+        }
+        val asked = metadata.backoffMillis ?: return
+        if (!state.availability.requestBackoff(asked)) return
+        backoffs.labelValues(service).inc()
+        event(state)
+            .addKeyValue("asked_millis", asked)
+            .addKeyValue("millis", state.availability.backoffMillis)
+            .log("replica asked for a pause; it gets no requests until then")
+    }
+
+    private fun event(state: ReplicaState) =
+        log.atInfo().addKeyValue("replica", state.replica.id).addKeyValue("service", state.replica.service)
+
+    private companion object {
+        val log = LoggerFactory.getLogger(ReplicaNotices::class.java)
+    }
+}
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaResponseMetadata.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaResponseMetadata.kt
@@ -10,6 +10,8 @@
  * @property notRun whether the replica states that it did not run the request.
  * @property otherReplica whether a different replica than the intended one responded.
  * @property load load that the replica reports, or null.
+ * @property leaving whether the replica announces that it leaves.
+ * @property backoffMillis milliseconds for which a replica that refused a request wants no further ones, or null.
  */
 data class ReplicaResponseMetadata(
     val requestId: String?,
@@ -17,4 +19,6 @@
     val notRun: Boolean,
     val otherReplica: Boolean,
     val load: ReplicaLoad?,
+    val leaving: Boolean = false,
+    val backoffMillis: Long? = null,
 )
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
@@ -20,6 +20,7 @@
 internal class ReplicaSender(
     private val pool: ConnectionPool,
     private val protocol: ReplicaProtocol,
+    private val notices: ReplicaNotices,
 ) {
     /** Sends [request] and reads the complete response. Closes the connection at the time-out, which ends the run. */
     suspend fun sendAndRead(
@@ -35,7 +36,7 @@
                 try {
                     use(state, request, tokens) { connection ->
                         sent = true
-                        val head = begin(connection, request, call)
+                        val head = begin(state, connection, request, call)
                         ReadResult.Complete(read(connection, head))
                     }
                 } catch (e: ConnectFailedException) {
@@ -49,8 +50,9 @@
         return SendResult.NoResponse("no answer in $timeoutMillis ms")
     }
 
-    /** Writes [request] to [connection] and returns the head of the response. */
+    /** Writes [request] for [state]'s replica to [connection] and returns the head of the response. */
     suspend fun begin(
+        state: ReplicaState,
         connection: OutboundConnection,
         request: CallerRequest,
         call: ReplicaRequestOptions,
@@ -59,7 +61,9 @@
         val id = protocol.requestId(request.headers)
         val sent = OutboundRequests.of(request.method, request.uri, headers, request.body)
         connection.send(sent, id, Matcher(id, call))
-        return connection.readHead()
+        val head = connection.readHead()
+        notices.record(state, protocol.reply(head.status().code(), head.headers()))
+        return head
     }
 
     private inner class Matcher(private val id: String?, private val call: ReplicaRequestOptions) : ResponseMatcher {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReservationClient.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReservationClient.kt
@@ -2,6 +2,7 @@
 
 import fireflyhinge.forward.KvCacheLocation
 import fireflyhinge.forward.ReplicaState
+import fireflyhinge.gateway.http.BufferedResponse
 import fireflyhinge.gateway.http.ConnectionPool
 import fireflyhinge.gateway.http.DuplicateResponseException
 import fireflyhinge.gateway.http.HttpClient
@@ -21,6 +22,7 @@
     pool: ConnectionPool,
     private val protocol: ReservationProtocol,
     private val replies: ReplicaProtocol,
+    private val notices: ReplicaNotices,
 ) {
     private val calls = HttpClient(pool, Matcher())
 
@@ -53,6 +55,7 @@
                 timeoutMillis = RESERVE_TIMEOUT_MILLIS,
                 issuedId = { reply -> if (reply.status == OK) check(protocol.reservation(reply.body)) else null },
             )
+        record(state, response)
         return when (response.status) {
             OK -> protocol.reservation(response.body)?.let { Reservation.Granted(it) } ?: Reservation.Unsupported
             FULL -> Reservation.Full
@@ -61,12 +64,16 @@
         }
     }
 
-    /** Releases a reservation that no request will use. */
+    private fun record(state: ReplicaState, response: BufferedResponse) =
+        notices.record(state, replies.reply(response.status, response.headers))
+
+    /** Releases a reservation that no request will use. That frees capacity, so it is also sent to a busy replica. */
     fun releaseReservation(state: ReplicaState, reservation: String) =
         sendDetached(
             address = state.replica.address,
             path = protocol.releaseReservationPath(reservation),
             headers = protocol.ownHeaders(state.replica.id),
+            onResponse = { record(state, it) },
         )
 
     /** Releases a KV cache that no replica will fetch. */
@@ -82,10 +89,17 @@
     }
 
     /** Sends a release without waiting for the response. If it is lost, the reservation or cache expires by itself. */
-    private fun sendDetached(address: String, path: String, headers: HttpHeaders) {
+    private fun sendDetached(
+        address: String,
+        path: String,
+        headers: HttpHeaders,
+        onResponse: (BufferedResponse) -> Unit = {},
+    ) {
         io.scope.launch {
             try {
-                calls.call(address, "DELETE", path, headers = headers, timeoutMillis = RELEASE_TIMEOUT_MILLIS)
+                onResponse(
+                    calls.call(address, "DELETE", path, headers = headers, timeoutMillis = RELEASE_TIMEOUT_MILLIS),
+                )
             } catch (e: IOException) {
                 log.debug("release {} failed: {}", path, e.message)
             }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/SlotReserver.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/SlotReserver.kt
@@ -1,5 +1,6 @@
 package fireflyhinge.gateway.forward
 
+import fireflyhinge.forward.ReplicaStage
 import fireflyhinge.gateway.http.monotonicMillis
 import kotlinx.coroutines.delay
 
@@ -10,8 +11,9 @@
 internal class SlotReserver(private val routing: ReplicaRouting, private val reservations: ReservationClient) {
     /**
      * Reserves a slot at a replica that is not in [excluded], or returns null. While all replicas are full it waits
-     * until [untilMillis], a monotonic time, or not at all if that is 0; if replicas do not respond, the wait lasts at
-     * least [ReplicaTimeouts.HEALTHY_PAUSE_MILLIS]. [resumed] is true if the response has begun.
+     * until [untilMillis], a monotonic time, or not at all if that is 0 or if all replicas want no requests until then;
+     * if replicas do not respond, the wait lasts at least [ReplicaTimeouts.HEALTHY_PAUSE_MILLIS]. [resumed] is true if
+     * the response has begun.
      */
     suspend fun reserve(
         context: RequestContext,
@@ -27,7 +29,8 @@
             val state = routing.selector.selectWithCapacity(context.service, tokens, excluded + unresponsive, resumed)
             when (val response = state?.let { reservations.reserve(it, tokens) }) {
                 null -> {
-                    if (monotonicMillis() + POLL_MILLIS > until) return null
+                    val pause = routing.table.backoffMillis(context.service, ReplicaStage.DECODE) ?: 0
+                    if (monotonicMillis() + maxOf(pause, POLL_MILLIS) > until) return null
                     delay(POLL_MILLIS)
                     unresponsive.clear()
                 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -2,6 +2,7 @@
 
 import fireflyhinge.forward.EventSequence
 import fireflyhinge.forward.KvCacheLocation
+import fireflyhinge.forward.ReplicaStage
 import fireflyhinge.forward.ReplicaState
 import fireflyhinge.gateway.http.ResponseWriter
 import fireflyhinge.gateway.http.monotonicMillis
@@ -42,11 +43,6 @@
             val repeatable = (route.resumable && order.allNumbered) || !context.mayHaveRun
             return allowed && context.remainingMillis > 0 && repeatable
         }
-
-        fun failed(response: ResponseWriter): ForwardResult {
-            val reason = lastFailure.detail.ifEmpty { lastFailure.code.text }
-            return if (response.started) ForwardResult.Interrupted(reason) else ForwardResult.Failed(lastFailure)
-        }
     }
 
     private val prefillDispatcher = PrefillDispatcher(routing, sender)
@@ -67,7 +63,10 @@
                 val result = prefillAndDecode(context, attempts, target, prepared, response)
                 if (result is DecodeStepResult.Finished) return result.value
             }
-            return attempts.failed(response)
+            val failure = attempts.lastFailure
+            if (response.started) return ForwardResult.Interrupted(failure.detail.ifEmpty { failure.code.text })
+            val stages = listOf(ReplicaStage.DECODE, ReplicaStage.PREFILL)
+            return ForwardResult.Failed(routing.withKnownRetryAfter(failure, context.service, stages))
         } finally {
             discard(context, attempts)
         }
@@ -202,6 +201,11 @@
     ): DecodeStepResult {
         val state = target.state
         val id = state.replica.id
+        if (state.availability.backoffMillis > 0) {
+            context.attemptLog += "decode $id not sent, it asked for a pause"
+            attempts.undelivered++
+            return DecodeStepResult.NotRun
+        }
         val call =
             ReplicaRequestOptions(
                 replicaId = id,
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpClient.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpClient.kt
@@ -56,6 +56,6 @@
 
     private suspend fun read(connection: OutboundConnection): BufferedResponse {
         val head = connection.readHead()
-        return BufferedResponse(head.status().code(), connection.readBody())
+        return BufferedResponse(head.status().code(), head.headers(), connection.readBody())
     }
 }
