Add the path to the time limits of reservations and hedges

Cause: a reservation had to be answered within 120 ms. Regions are 30 ms apart, so a new connection and a call on it take 120 ms on an idle path: a healthy replica of another region was taken for unresponsive, left out for 1 to 4 s, and the request was refused. The first plain send was hedged after 60 % of the objective, whatever the distance to its replica.

Change: FailureDomains knows the round trip to a failure domain. A reservation has 120 ms for the response plus two round trips (126 ms within the region, 240 ms across), a plain send has one round trip more before it is hedged.

DistantReplicaTest failed in both cases before the change (503 instead of 200, two sends instead of one) and passes now, with HedgedRequestTest, UnresponsiveReplicaTest and ModelCallTest. Loans and exchanges between VMs (150 and 600 ms) are left as they are.

--- a/core/src/main/kotlin/fireflyhinge/forward/FailureDomains.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/FailureDomains.kt
@@ -12,4 +12,15 @@
             regionOf(to) == regionOf(from) -> 1
             else -> 2
         }
+
+    /** Returns the round-trip time to [to] on an idle path, in milliseconds. A new connection takes one more. */
+    fun roundTripMillis(to: String): Long = if (distance(to) < 2) REGION_ROUND_TRIP_MILLIS else ROUND_TRIP_MILLIS
+
+    private companion object {
+        /** Within a region, failure domains are up to 1.4 ms apart. */
+        const val REGION_ROUND_TRIP_MILLIS = 3L
+
+        /** Regions are 30 ms apart. */
+        const val ROUND_TRIP_MILLIS = 60L
+    }
 }
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaSelector.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaSelector.kt
@@ -31,6 +31,9 @@
         return best(service, healthy.filterNot { it.full }.ifEmpty { healthy }.ifEmpty { reachable }, near)
     }
 
+    /** Round-trip time to the replica of [state] on an idle path, in milliseconds. */
+    fun roundTripMillis(state: ReplicaState): Long = domains.roundTripMillis(state.replica.failureDomain)
+
     /** Whether the replica of [state] is in the region of the failure domain [near]. */
     fun inRegion(state: ReplicaState, near: String): Boolean = domains.distance(state.replica.failureDomain, near) < 2
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
@@ -161,7 +161,8 @@
     private fun hedgeDelay(context: RequestContext, attempts: Attempts): Long {
         val route = context.admission.route
         val another = mayAttempt(context, attempts) && routing.retries.isAvailable(context.service)
-        val first = maxOf(route.objectiveMillis * FIRST_PERCENT / PERCENT, MIN_FIRST_TIMEOUT_MILLIS)
+        val path = attempts.newest?.let(routing.selector::roundTripMillis) ?: 0
+        val first = maxOf(route.objectiveMillis * FIRST_PERCENT / PERCENT, MIN_FIRST_TIMEOUT_MILLIS) + path
         return if (another) minOf(first, context.remainingMillis) else context.remainingMillis
     }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReservationClient.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReservationClient.kt
@@ -26,24 +26,32 @@
 ) {
     private val calls = HttpClient(pool, Matcher())
 
-    /** Reserves a slot with memory for [tokens]. Retries once if a duplicate of an earlier response was received. */
-    suspend fun reserve(state: ReplicaState, tokens: Int): Reservation =
+    /**
+     * Reserves a slot with memory for [tokens], or fails after [timeoutMillis]. Retries once if a duplicate of an
+     * earlier response was received.
+     */
+    suspend fun reserve(state: ReplicaState, tokens: Int, timeoutMillis: Long): Reservation =
         try {
             try {
-                tryReserve(state, tokens) {
+                tryReserve(state, tokens, timeoutMillis) {
                     it ?: throw DuplicateResponseException("response grants no reservation id")
                 }
             } catch (e: DuplicateResponseException) {
                 log.atInfo().addKeyValue("replica", state.replica.id)
                     .log("duplicate response to an earlier call; reserving again: {}", e.message)
-                tryReserve(state, tokens) { it }
+                tryReserve(state, tokens, timeoutMillis) { it }
             }
         } catch (e: IOException) {
             Reservation.NoResponse(e.message.orEmpty())
         }
 
     /** [check] gets the reservation id of a granting response; it throws if the response belongs to another call. */
-    private suspend fun tryReserve(state: ReplicaState, tokens: Int, check: (String?) -> String?): Reservation {
+    private suspend fun tryReserve(
+        state: ReplicaState,
+        tokens: Int,
+        timeoutMillis: Long,
+        check: (String?) -> String?,
+    ): Reservation {
         val (path, body) = protocol.reserve(tokens, RESERVATION_TTL_MILLIS)
         val response =
             calls.call(
@@ -52,7 +60,7 @@
                 path = path,
                 body = body,
                 headers = protocol.ownHeaders(state.replica.id),
-                timeoutMillis = RESERVE_TIMEOUT_MILLIS,
+                timeoutMillis = timeoutMillis,
                 issuedId = { reply -> if (reply.status == OK) check(protocol.reservation(reply.body)) else null },
             )
         record(state, response)
@@ -118,8 +126,5 @@
 
         /** Maximum that replicas allow; enough for a prefill. */
         const val RESERVATION_TTL_MILLIS = 2_000L
-
-        /** Twice the round trip between regions; replicas respond at once. */
-        const val RESERVE_TIMEOUT_MILLIS = 120L
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/SlotReserver.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/SlotReserver.kt
@@ -1,6 +1,7 @@
 package fireflyhinge.gateway.forward
 
 import fireflyhinge.forward.ReplicaStage
+import fireflyhinge.forward.ReplicaState
 import fireflyhinge.gateway.http.monotonicMillis
 import kotlinx.coroutines.delay
 
@@ -27,7 +28,7 @@
         var until = untilMillis
         while (true) {
             val state = routing.selector.selectWithCapacity(context.service, tokens, excluded + unresponsive, resumed)
-            when (val response = state?.let { reservations.reserve(it, tokens) }) {
+            when (val response = state?.let { reserve(it, tokens) }) {
                 null -> {
                     val pause = routing.table.backoffMillis(context.service, ReplicaStage.DECODE) ?: 0
                     if (monotonicMillis() + maxOf(pause, POLL_MILLIS) > until) return null
@@ -50,7 +51,16 @@
         }
     }
 
+    private suspend fun reserve(state: ReplicaState, tokens: Int): Reservation =
+        reservations.reserve(state, tokens, RESPONSE_MILLIS + 2 * routing.selector.roundTripMillis(state))
+
     private companion object {
+        /**
+         * Replicas answer reservations at once. The path to them comes on top: a limit shorter than the path would take
+         * every replica of another region for unresponsive.
+         */
+        const val RESPONSE_MILLIS = 120L
+
         /** At full load, a replica frees about ten slots per second. */
         const val POLL_MILLIS = 50L
     }
