Answer every request that a stopping VM has read, and take only what fits

Cause: a stopping VM took each request on an open connection and cut off what still ran when it exited, 1.2 s before the end of its grace: a stream with a visible break, any other request by a closed connection, orders among them. No 'request ended' line told which.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -23,6 +23,7 @@
 import fireflyhinge.gateway.forward.ForwardPipeline
 import fireflyhinge.gateway.forward.Forwarder
 import fireflyhinge.gateway.forward.PlainForwarder
+import fireflyhinge.gateway.forward.PlannedStop
 import fireflyhinge.gateway.forward.QuotaCharger
 import fireflyhinge.gateway.forward.ReplicaNotices
 import fireflyhinge.gateway.forward.ReplicaRouting
@@ -67,6 +68,7 @@
     private val notices = ReplicaNotices(registry)
     private val sender = ReplicaSender(replicaPool, protocols.replicas, notices)
     private val replicaCalls = ReservationClient(io, replicaPool, protocols.reservations, protocols.replicas, notices)
+    private val plannedStop = PlannedStop()
     private val startedAt = monotonicMillis()
 
     @Volatile
@@ -90,6 +92,7 @@
                 streams = StreamForwarder(routing, sender, replicaCalls),
             ),
             requestLog = RequestLog(registry),
+            stop = plannedStop,
         )
     private val front = HttpListener(io, settings.front, { config?.limits ?: CallerLimits() }, forwarder)
     private val control =
@@ -122,17 +125,24 @@
 
     /**
      * Drains and stops: address lookups stop naming this VM, then new connections are refused, then running requests
-     * complete. Blocks until that is done or [GatewaySettings.stopMillis] is almost over.
+     * complete. Requests that are unlikely to complete are refused meanwhile, and those that did not are ended with a
+     * response when [GatewaySettings.stopMillis] is almost over. Blocks until then.
      */
     fun stop() {
         val began = monotonicMillis()
         log.info("stopping")
+        val end = began + settings.stopMillis - STOP_MARGIN_MILLIS
+        plannedStop.endMillis = end
         front.draining = true
         runBlocking(io.dispatcher) { gossip.announce() }
-        val end = began + settings.stopMillis - STOP_MARGIN_MILLIS
         Thread.sleep(DRAIN_GRACE_MILLIS)
         io.loop.execute { front.stopAccepting() }
-        while (monotonicMillis() < end && front.inFlight > 0) Thread.sleep(POLL_MILLIS)
+        front.awaitRequests(end)
+        if (front.inFlight > 0) {
+            log.atInfo().addKeyValue("open", front.inFlight).log("ending requests that did not complete in time")
+            io.loop.execute { front.endRequests() }
+            front.awaitRequests(end + LAST_RESPONSES_MILLIS)
+        }
         log.atInfo().addKeyValue("open", front.inFlight).addKeyValue("millis", monotonicMillis() - began).log("stopped")
     }
 
@@ -202,9 +212,9 @@
         /** Callers with older addresses are served for this time; later ones are refused and use another address. */
         const val DRAIN_GRACE_MILLIS = 2_500L
 
-        /** Time for the process to exit before it is killed; a VM with a fraction of a core needs over half of it. */
-        const val STOP_MARGIN_MILLIS = 1_200L
-        const val POLL_MILLIS = 20L
+        /** Time for the last responses and for the process to exit before it is killed. */
+        const val STOP_MARGIN_MILLIS = 700L
+        const val LAST_RESPONSES_MILLIS = 200L
 
         /** Less than the 15 s after which VMs close idle connections of others ([CallerLimits]). */
         const val PEER_IDLE_MILLIS = 10_000L
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/FailureMapper.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/FailureMapper.kt
@@ -30,7 +30,18 @@
             Outcome.Failure(ResultCode.CAPACITY_EXHAUSTED, retryAfterMillis = RETRY_AFTER_MILLIS)
         }
 
+    /** The failure of a request that this VM cannot end before it stops. */
+    fun stopped(context: RequestContext): Outcome.Failure =
+        if (context.mayHaveRun) {
+            Outcome.Failure(ResultCode.ATTEMPTS_FAILED, "The VM stops.")
+        } else {
+            Outcome.Failure(ResultCode.DRAINING, retryAfterMillis = OTHER_VM_RETRY_AFTER_MILLIS)
+        }
+
     /** Statuses that tell a caller that its request did not run and never will. */
     private val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
     private const val RETRY_AFTER_MILLIS = 500L
+
+    /** Other VMs take the request at once. */
+    private const val OTHER_VM_RETRY_AFTER_MILLIS = 100L
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Forwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Forwarder.kt
@@ -12,6 +12,8 @@
 import fireflyhinge.result.ResultCode
 import io.netty.handler.codec.http.HttpHeaderNames
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
 
@@ -22,6 +24,7 @@
     private val replicas: ReplicaProtocol,
     private val pipeline: ForwardPipeline,
     private val requestLog: RequestLog,
+    private val stop: PlannedStop,
 ) : RequestHandler {
     private class Progress(var context: RequestContext? = null)
 
@@ -31,6 +34,7 @@
         try {
             admit(request, progress, response)
         } catch (e: CancellationException) {
+            cancelled(progress.context, response)
             throw e
         } catch (e: IOException) {
             throw e
@@ -39,6 +43,13 @@
         }
     }
 
+    /** Ends a request that was cancelled: its caller left, or the VM stops and the request still gets a response. */
+    private suspend fun cancelled(context: RequestContext?, response: ResponseWriter) {
+        if (context == null) return
+        if (!stop.ended) return requestLog.ended(context, "caller left")
+        withContext(NonCancellable) { endEarly(context, "the VM stops", FailureMapper.stopped(context), response) }
+    }
+
     private suspend fun unexpected(
         request: CallerRequest,
         context: RequestContext?,
@@ -70,7 +81,12 @@
             is Outcome.Failure -> refuse(request, metadata, admitted, response)
             is Outcome.Success -> {
                 val context = RequestContext.of(request, metadata, admitted.value).also { progress.context = it }
-                chargeAndForward(context, response)
+                if (stop.admits(context)) {
+                    chargeAndForward(context, response)
+                    stop.recordEnd(context)
+                } else {
+                    fail(context, FailureMapper.stopped(context), response)
+                }
             }
         }
     }
@@ -87,9 +103,6 @@
         }
         try {
             forward(context, response)
-        } catch (e: CancellationException) {
-            requestLog.ended(context, "caller left")
-            throw e
         } finally {
             if (!context.mayHaveRun) admission.workspace?.let { pipeline.quota.refund(it, cost) }
         }
@@ -114,20 +127,22 @@
                 response.respond(result.status, replicas.toCaller(result.headers), result.body)
             }
             ForwardResult.Streamed -> requestLog.ended(context, "streamed")
-            is ForwardResult.Interrupted -> abort(context, response, result.reason)
+            is ForwardResult.Interrupted ->
+                endEarly(context, result.reason, Outcome.Failure(ResultCode.ANSWER_INTERRUPTED), response)
             is ForwardResult.Failed -> fail(context, FailureMapper.forCaller(result.failure, context), response)
-            null -> failTimedOut(context, response)
+            null -> endEarly(context, "deadline exceeded", FailureMapper.timedOut(context), response)
         }
     }
 
-    private suspend fun failTimedOut(context: RequestContext, response: ResponseWriter) =
-        when {
-            response.complete -> requestLog.ended(context, "streamed")
-            response.started -> abort(context, response, "deadline exceeded")
-            else -> fail(context, FailureMapper.timedOut(context), response)
-        }
-
-    private fun abort(context: RequestContext, response: ResponseWriter, reason: String) {
+    /** Breaks off a response that has begun, which its caller detects, or sends [failure] as the response. */
+    private suspend fun endEarly(
+        context: RequestContext,
+        reason: String,
+        failure: Outcome.Failure,
+        response: ResponseWriter,
+    ) {
+        if (response.complete) return requestLog.ended(context, "streamed")
+        if (!response.started) return fail(context, failure, response)
         requestLog.ended(context, "broken off: $reason")
         response.abort()
     }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/CallerConnection.kt
@@ -31,7 +31,10 @@
     val partialHead = PartialHeadTracker()
     private val expectContinue = ExpectContinue(channel)
     private val pipelined = ArrayDeque<Pair<CallerRequest, Boolean>>()
-    private var job: Job? = null
+
+    /** The most recent request; its handler may still write a response if it is cancelled. */
+    var job: Job? = null
+        private set
     private var closing = false
 
     /** Why the bytes after the last complete request were rejected; sent once that request has its response. */
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpListener.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpListener.kt
@@ -73,6 +73,14 @@
         connections.forEach { it.closeIfIdle() }
     }
 
+    /** Cancels the requests that are being handled. Must be called on the event loop. */
+    fun endRequests() = connections.forEach { it.job?.cancel() }
+
+    /** Blocks until no request is in flight, at most until [untilMillis] on the monotonic clock. */
+    fun awaitRequests(untilMillis: Long) {
+        while (monotonicMillis() < untilMillis && inFlight > 0) Thread.sleep(POLL_MILLIS)
+    }
+
     @Suppress("TooGenericExceptionCaught") // A scheduled task that throws is not run again.
     private fun sweep() {
         try {
@@ -100,6 +108,7 @@
         val log: Logger = LoggerFactory.getLogger(HttpListener::class.java)
         const val BACKLOG = 512
         const val SWEEP_MILLIS = 500L
+        const val POLL_MILLIS = 20L
 
         const val MAX_REQUEST_LINE_BYTES = 8_192
 
