Take a stream that sends no events for stalled, whatever else it sends

Cause: every byte of a replica counted as progress of its run. A stalled replica that sent a byte of an event, or a comment, now and then kept its request until the time limit, although another replica could have continued the stream.

Change: only whole events that are no comments count. A run still ends only when another replica has a slot, has the prompt and may be sent the request.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
@@ -29,7 +29,7 @@
     private val response: ResponseWriter,
     private val failover: FailoverTarget?,
 ) {
-    private var lastReceivedMillis = monotonicMillis()
+    private var lastEventMillis = monotonicMillis()
     private var waiting = true
     private var failedOver = false
 
@@ -75,7 +75,7 @@
     }
 
     private fun unresponsive() =
-        waiting && monotonicMillis() - lastReceivedMillis >= ReplicaTimeouts.HEALTHY_PAUSE_MILLIS
+        waiting && monotonicMillis() - lastEventMillis >= ReplicaTimeouts.HEALTHY_PAUSE_MILLIS
 
     private suspend fun read(
         state: ReplicaState,
@@ -96,13 +96,15 @@
         while (true) {
             waiting = true
             val bytes = connection.readChunk() ?: return end(events)
-            lastReceivedMillis = monotonicMillis()
             waiting = false
-            events.add(bytes).forEach { event ->
+            val complete = events.add(bytes)
+            complete.forEach { event ->
                 if (order.hasGapBefore(event)) return interrupted("an event is missing")
                 if (order.lacksNumber(event)) return interrupted("an event without an id")
                 if (order.accept(event) && !(event.comment && order.awaitingFirstEvent)) forward(event, head)
             }
+            // Other bytes are no progress for the caller: a stalled replica may send some now and then.
+            if (complete.any { !it.comment }) lastEventMillis = monotonicMillis()
             if (events.oversized) return interrupted("an event without end")
         }
     }
