Log which requests ran on a replica that crashed, and the parts of their prompts

Change: a run that its replica broke off makes the VM check whether anything still listens there; if not, one line says what ran, and a counter rises. Requests and decisions stay as they were; a check is one connection, which is kept for later requests if it opens.

Evidence: ReplicaCrashTest (a reset, a close, silence and the end of a leaving replica are no crash; without this change its first case has no counter). Its runs and those of ModelCallTest, PlainCallTest, ForwardAdmissionTest, StartClassesTest pass.

--- a/core/src/main/kotlin/fireflyhinge/forward/RequestMetadata.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/RequestMetadata.kt
@@ -10,6 +10,9 @@
  * @property outputTokens declared limit of output tokens, or null.
  * @property expectedOutputTokens the caller's estimate of output tokens, accurate in half of all cases, or null.
  * @property lastEvent number of the last stream event the caller has received, or null.
+ * @property model the model that the request names, or null.
+ * @property promptParts ids of the parts of the prompt that other requests may share, in order; without the last part,
+ * which belongs to the request or its session.
  */
 data class RequestMetadata(
     val requestId: String?,
@@ -19,6 +22,8 @@
     val outputTokens: Int?,
     val expectedOutputTokens: Int?,
     val lastEvent: Long?,
+    val model: String? = null,
+    val promptParts: List<String> = emptyList(),
 ) {
     /** Maximum tokens of the request, or null if it declares none. */
     val tokens: Int? get() = if (promptTokens == null) null else promptTokens + (outputTokens ?: 0)
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -20,6 +20,7 @@
 import fireflyhinge.gateway.fleet.PeerClient
 import fireflyhinge.gateway.fleet.PeerQuotaBorrower
 import fireflyhinge.gateway.fleet.StoreMirror
+import fireflyhinge.gateway.forward.CrashDetector
 import fireflyhinge.gateway.forward.ForwardPipeline
 import fireflyhinge.gateway.forward.Forwarder
 import fireflyhinge.gateway.forward.PlainForwarder
@@ -66,6 +67,7 @@
     private val routing = ReplicaRouting(table, ReplicaSelector(table, domains, ::memoryOf), retries)
     private val replicaPool = ConnectionPool(io)
     private val notices = ReplicaNotices(registry)
+    private val crashes = CrashDetector(replicaPool, io.scope, registry)
     private val sender = ReplicaSender(replicaPool, protocols.replicas, notices)
     private val replicaCalls = ReservationClient(io, replicaPool, protocols.reservations, protocols.replicas, notices)
     private val plannedStop = PlannedStop()
@@ -88,8 +90,8 @@
             pipeline =
             ForwardPipeline(
                 quota = QuotaCharger(shares, PeerQuotaBorrower(fleet, domains, peers), io.scope),
-                plain = PlainForwarder(routing, sender),
-                streams = StreamForwarder(routing, sender, replicaCalls),
+                plain = PlainForwarder(routing, sender, crashes),
+                streams = StreamForwarder(routing, sender, replicaCalls, crashes),
             ),
             requestLog = RequestLog(registry),
             stop = plannedStop,
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
@@ -28,7 +28,9 @@
     private val order: EventSequence,
     private val response: ResponseWriter,
     private val failover: FailoverTarget?,
+    private val crashes: CrashDetector,
 ) {
+    private val progress = RunProgress()
     private var lastEventMillis = monotonicMillis()
     private var waiting = true
     private var failedOver = false
@@ -45,6 +47,7 @@
         } catch (e: ConnectFailedException) {
             DecodeOutcome.NotSent(e.message.orEmpty())
         } catch (e: IOException) {
+            if (!failedOver) crashes.record(state, BrokenRun(context, progress.settled))
             DecodeOutcome.Interrupted(e.message.orEmpty())
         }
 
@@ -104,7 +107,10 @@
                 if (order.accept(event) && !(event.comment && order.awaitingFirstEvent)) forward(event, head)
             }
             // Other bytes are no progress for the caller: a stalled replica may send some now and then.
-            if (complete.any { !it.comment }) lastEventMillis = monotonicMillis()
+            if (complete.any { !it.comment }) {
+                lastEventMillis = monotonicMillis()
+                progress.recordOutput()
+            }
             if (events.oversized) return interrupted("an event without end")
         }
     }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
@@ -12,7 +12,11 @@
  * the first replica is unresponsive, a second one gets the request too, and the first successful response is used. An
  * unresponsive replica alone does not end an attempt.
  */
-internal class PlainForwarder(private val routing: ReplicaRouting, private val sender: ReplicaSender) {
+internal class PlainForwarder(
+    private val routing: ReplicaRouting,
+    private val sender: ReplicaSender,
+    private val crashes: CrashDetector,
+) {
     private class Sent(val state: ReplicaState, val result: SendResult)
 
     private class Attempts(val race: Race<Sent>) {
@@ -120,6 +124,7 @@
             }
             is SendResult.NoResponse -> {
                 context.attemptLog += "$id no response: ${result.reason}"
+                if (result.brokenOff) crashes.record(state, BrokenRun(context, settled = false))
                 state.recordNoResponse()
                 attempts.lastFailure = Outcome.Failure(ResultCode.ATTEMPTS_FAILED, result.reason)
                 null
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
@@ -6,7 +6,11 @@
 import fireflyhinge.gateway.http.monotonicMillis
 
 /** Sends model requests to prefill replicas. */
-internal class PrefillDispatcher(private val routing: ReplicaRouting, private val sender: ReplicaSender) {
+internal class PrefillDispatcher(
+    private val routing: ReplicaRouting,
+    private val sender: ReplicaSender,
+    private val crashes: CrashDetector,
+) {
     /**
      * Prefills the prompt. This does not count as a run of the request, so it may be retried. The decode replica in
      * failure domain [near] fetches the KV cache, so the prefill replica must be in the same region. [retry] is true if
@@ -49,6 +53,9 @@
         val outcome = if (cache == null) describe(result) else "ok"
         context.attemptLog += "prefill ${state.replica.id} $outcome ${monotonicMillis() - began} ms"
         if (cache != null || result is SendResult.NoResponse) state.recordPrefill(tokens, monotonicMillis() - began)
+        if (result is SendResult.NoResponse && result.brokenOff) {
+            crashes.record(state, BrokenRun(context, settled = false))
+        }
         when {
             cache != null -> state.recordResponse(success = true)
             result is SendResult.Responded && result.metadata.notRun && !result.metadata.otherReplica ->
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
@@ -42,7 +42,7 @@
                 } catch (e: ConnectFailedException) {
                     SendResult.NotSent(e.message.orEmpty())
                 } catch (e: IOException) {
-                    SendResult.NoResponse(e.message.orEmpty())
+                    SendResult.NoResponse(e.message.orEmpty(), brokenOff = true)
                 }
             }
         if (result != null) return result
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/RequestLog.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/RequestLog.kt
@@ -55,6 +55,7 @@
             .addKeyValue("service", context.service)
             .addKeyValue("config", context.admission.configVersion)
             .addKeyValue("tokens", context.cost.toLong())
+            .addKeyValue("parts", context.metadata.promptParts.ifEmpty { null })
             .addKeyValue("millis", millis)
             .addKeyValue("first_event_millis", context.firstEventMillis)
             .addKeyValue("longest_pause_millis", context.longestPauseMillis)
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/SendResult.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/SendResult.kt
@@ -15,6 +15,9 @@
     /** Nothing was sent. */
     data class NotSent(val reason: String) : SendResult
 
-    /** The request was sent, but no complete response was received; it may have run. */
-    data class NoResponse(val reason: String) : SendResult
+    /**
+     * The request was sent, but no complete response was received; it may have run. [brokenOff] is true if the replica
+     * closed the connection, and false if it took too long.
+     */
+    data class NoResponse(val reason: String, val brokenOff: Boolean = false) : SendResult
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -15,6 +15,7 @@
     private val routing: ReplicaRouting,
     private val sender: ReplicaSender,
     private val reservations: ReservationClient,
+    private val crashes: CrashDetector,
 ) {
     private class Attempts(lastEvent: Long?) {
         val order = EventSequence(lastEvent)
@@ -45,7 +46,7 @@
         }
     }
 
-    private val prefillDispatcher = PrefillDispatcher(routing, sender)
+    private val prefillDispatcher = PrefillDispatcher(routing, sender, crashes)
     private val slots = SlotReserver(routing, reservations)
 
     /** Prefills, decodes, and forwards the events to [response]. A resumable stream that breaks continues elsewhere. */
@@ -218,7 +219,7 @@
         context.recordSend()
         val mayRetry = context.admission.route.resumable && attempts.sends + 1 < context.admission.route.maxAttempts
         val failover = if (mayRetry) Failover(context, attempts, response) else null
-        val outcome = DecodeSession(sender, context, attempts.order, response, failover).run(state, call)
+        val outcome = DecodeSession(sender, context, attempts.order, response, failover, crashes).run(state, call)
         context.attemptLog += "decode $id $outcome"
         return when (outcome) {
             is DecodeOutcome.Completed -> {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
@@ -50,6 +50,16 @@
         return connect(address, server)
     }
 
+    /** Whether a process listens at [address]. Throws [ConnectFailedException] if that cannot be told. */
+    suspend fun isListening(address: String): Boolean =
+        try {
+            release(connect(address, servers.computeIfAbsent(address) { Server() }))
+            true
+        } catch (e: ConnectFailedException) {
+            if (!e.refused) throw e
+            false
+        }
+
     /** Returns [connection] to the pool after a complete response. */
     fun release(connection: OutboundConnection) {
         if (!connection.release()) return
