Refuse requests that crash replicas, at every VM and whatever they are doing

Cause: what a VM learns from a run that ends with its replica was dropped with the request, and no VM told another.

Change: broken runs on replicas that crashed and responses that go on become evidence (CrashDetector, RunProgress); each VM tells four random VMs at once what is news, exchanges carry what is recent, and verdicts are kept in the platform's store as one object a trait, which VMs that start read. One more store watch a VM.

Module tests of core, gateway and platform pass.

--- a/core/src/main/kotlin/fireflyhinge/forward/CrashSuspect.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/CrashSuspect.kt
@@ -1,8 +1,8 @@
 package fireflyhinge.forward
 
 /**
- * A trait with enough evidence against it, unless other traits explain that evidence. The one with more crashes comes
- * first.
+ * A trait with enough evidence against it, unless other traits explain that evidence. Those that explain more come
+ * first: parts, which several requests speak against, and traits with more crashes.
  *
  * @property effectiveAt monotonic milliseconds from which the evidence counts.
  * @property endsAt monotonic milliseconds at which it ends to count.
@@ -24,8 +24,7 @@
 
     /** Whether this suspect and [other] are parts of the same requests wherever both were seen. */
     fun inSameRequestsAs(other: CrashSuspect): Boolean =
-        trait.kind == other.trait.kind &&
-            crashes.intersect(other.crashes).all { sightings[it]?.request == other.sightings[it]?.request }
+        crashes.intersect(other.crashes).all { sightings[it]?.request == other.sightings[it]?.request }
 
     companion object {
         /** Crashes that make a suspect. */
@@ -46,7 +45,7 @@
         private const val HOLD_MILLIS = 300_000L
 
         private val ORDER =
-            compareBy<CrashSuspect>({ -it.crashes.size }, { it.trait.kind }, { it.trait.toString() })
+            compareBy<CrashSuspect>({ it.trait.kind }, { -it.crashes.size }, { it.trait.toString() })
 
         /** Returns the suspect that [evidence] makes, or null. [soundAt] is the newest sound response in its scope. */
         fun of(evidence: TraitEvidence, soundAt: Long?): CrashSuspect? {
--- a/core/src/main/kotlin/fireflyhinge/forward/CrashVerdicts.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/CrashVerdicts.kt
@@ -44,6 +44,7 @@
             }
             val alike = groups.find { it.first.coincidesWith(suspect) } ?: return
             when {
+                alike.first.trait.kind != suspect.trait.kind -> Unit
                 alike.first.inSameRequestsAs(suspect) -> alike.together += suspect
                 alike.first.crashes.size > suspect.crashes.size -> Unit
                 // The next crash will probably tell them apart; more crashes than this are worse than a wrong verdict.
--- a/core/src/main/kotlin/fireflyhinge/forward/StoreObjectKind.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/StoreObjectKind.kt
@@ -10,4 +10,7 @@
 
     /** The VMs of this system. */
     VMS,
+
+    /** Evidence on traits of requests that crash replicas. */
+    CRASHES,
 }
--- a/core/src/test/kotlin/fireflyhinge/forward/CrashEvidenceTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/CrashEvidenceTest.kt
@@ -89,6 +89,9 @@
             Case("one request that is repeated", setOf("repeated")) {
                 crashes(*Array(5) { listOf(request("repeated", "near")) })
             },
+            Case("a sound request that is repeated beside", setOf("dead", "common dead", "near dead")) {
+                crashes(*Array(3) { listOf(request("d$it", "dead"), request("repeated", "near")) })
+            },
             Case("replicas that crash for other reasons", emptySet()) {
                 crashes(*Array(9) { listOf(request("o$it", "p${it % 5}")) })
             },
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -1,6 +1,7 @@
 package fireflyhinge.gateway
 
 import fireflyhinge.forward.CallerLimits
+import fireflyhinge.forward.CrashEvidence
 import fireflyhinge.forward.FailureDomains
 import fireflyhinge.forward.FleetView
 import fireflyhinge.forward.ForwardConfig
@@ -14,6 +15,8 @@
 import fireflyhinge.forward.StoreReadResult
 import fireflyhinge.forward.VmRecord
 import fireflyhinge.gateway.fleet.ControlHandler
+import fireflyhinge.gateway.fleet.EvidenceBroadcaster
+import fireflyhinge.gateway.fleet.EvidenceStore
 import fireflyhinge.gateway.fleet.FleetUpdates
 import fireflyhinge.gateway.fleet.Gossip
 import fireflyhinge.gateway.fleet.LoadBroadcaster
@@ -21,6 +24,7 @@
 import fireflyhinge.gateway.fleet.PeerQuotaBorrower
 import fireflyhinge.gateway.fleet.StoreMirror
 import fireflyhinge.gateway.forward.CrashDetector
+import fireflyhinge.gateway.forward.CrashGuard
 import fireflyhinge.gateway.forward.ForwardPipeline
 import fireflyhinge.gateway.forward.Forwarder
 import fireflyhinge.gateway.forward.PlainForwarder
@@ -55,10 +59,15 @@
     private val store = protocols.store(StoreHttpClient(HttpClient(ConnectionPool(io)), settings.store))
     private val configMirror = StoreMirror(StoreObjectKind.CONFIGURATION, store, io.scope, ::applyConfig)
     private val replicaMirror = StoreMirror(StoreObjectKind.REPLICAS, store, io.scope, ::applyReplicas)
-    private val mirrors = listOf(configMirror, replicaMirror)
+    private val evidence = CrashEvidence()
+    private val evidenceStore = EvidenceStore(evidence, fleet, store)
+    private val evidenceMirror = StoreMirror(StoreObjectKind.CRASHES, store, io.scope, evidenceStore::read)
+    private val mirrors = listOf(configMirror, replicaMirror, evidenceMirror)
     private val peers = PeerClient(HttpClient(ConnectionPool(io, defaultIdleLimitMillis = PEER_IDLE_MILLIS)))
     private val updates = FleetUpdates(fleet, table, ::ready)
-    private val gossip = Gossip(domains, peers, mirrors, { this.settings.seeds }, updates)
+    private val gossip = Gossip(domains, peers, mirrors, { this.settings.seeds }, updates, evidence)
+    private val evidenceBroadcaster = EvidenceBroadcaster(evidence, fleet, peers, io.scope)
+    private val guard = CrashGuard(evidence, registry)
     private val shares = QuotaShares(settings.quota, ::quotaShare, settings.firstStart)
     private val retries =
         RetryBudgetShares(settings.retries) {
@@ -67,7 +76,7 @@
     private val routing = ReplicaRouting(table, ReplicaSelector(table, domains, ::memoryOf), retries)
     private val replicaPool = ConnectionPool(io)
     private val notices = ReplicaNotices(registry)
-    private val crashes = CrashDetector(replicaPool, io.scope, registry)
+    private val crashes = CrashDetector(replicaPool, io.scope, evidence, registry)
     private val sender = ReplicaSender(replicaPool, protocols.replicas, notices)
     private val replicaCalls = ReservationClient(io, replicaPool, protocols.reservations, protocols.replicas, notices)
     private val plannedStop = PlannedStop()
@@ -89,6 +98,7 @@
             replicas = protocols.replicas,
             pipeline =
             ForwardPipeline(
+                guard = guard,
                 quota = QuotaCharger(shares, PeerQuotaBorrower(fleet, domains, peers), io.scope),
                 plain = PlainForwarder(routing, sender, crashes),
                 streams = StreamForwarder(routing, sender, replicaCalls, crashes),
@@ -98,7 +108,7 @@
         )
     private val front = HttpListener(io, settings.front, { config?.limits ?: CallerLimits() }, forwarder)
     private val control =
-        HttpListener(io, settings.control, handler = ControlHandler(gossip, mirrors, shares) { config })
+        HttpListener(io, settings.control, handler = ControlHandler(gossip, mirrors, shares, evidence) { config })
     private val discovery =
         DiscoveryHandler(
             protocols.discovery,
@@ -111,10 +121,18 @@
 
     /** Opens the ports and starts to watch the store and to gossip with other VMs. */
     fun start() {
+        evidence.onNews = {
+            guard.notifyChange()
+            evidenceBroadcaster.notifyNews()
+            evidenceStore.notifyChange()
+        }
         (discovery + control + front).forEach { it.start() }
         io.scope.launch { discoverFleet() }
         mirrors.forEach { mirror -> io.scope.launch { mirror.run() } }
         io.scope.launch { gossip.run() }
+        io.scope.launch { evidenceBroadcaster.run() }
+        io.scope.launch { evidenceStore.run() }
+        io.scope.launch { guard.applyVerdicts() }
         io.scope.launch { LoadBroadcaster(io.scope, updates, domains, peers, table).run() }
         log.atInfo().addKeyValue("vm", settings.vm).addKeyValue("front", settings.front).log("started")
     }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/ControlHandler.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/ControlHandler.kt
@@ -1,5 +1,6 @@
 package fireflyhinge.gateway.fleet
 
+import fireflyhinge.forward.CrashEvidence
 import fireflyhinge.forward.ForwardConfig
 import fireflyhinge.forward.QuotaShares
 import fireflyhinge.gateway.http.CallerRequest
@@ -15,6 +16,7 @@
     private val gossip: Gossip,
     private val mirrors: List<StoreMirror>,
     private val quota: QuotaShares,
+    private val evidence: CrashEvidence,
     private val config: () -> ForwardConfig?,
 ) : RequestHandler {
     private val log = LoggerFactory.getLogger(javaClass)
@@ -39,6 +41,7 @@
             request.uri == LoadBroadcaster.PATH -> EMPTY.also { gossip.received(PeerMessages.exchange(request.body)) }
             request.uri == PeerQuotaBorrower.PATH -> lend(request.body)
             request.uri == PeerQuotaBorrower.REPAY_PATH -> EMPTY.also { acceptRepayment(request.body) }
+            request.uri == EvidenceBroadcaster.PATH -> EMPTY.also { evidence.merge(EvidenceCodec.decode(request.body)) }
             request.uri.startsWith(Gossip.FEED_PATH) ->
                 mirrors.find { it.kind.name == request.uri.removePrefix(Gossip.FEED_PATH) }?.let {
                     PeerMessages.encode(it.state.listing())
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
@@ -1,5 +1,6 @@
 package fireflyhinge.gateway.fleet
 
+import fireflyhinge.forward.CrashEvidence
 import fireflyhinge.forward.FailureDomains
 import fireflyhinge.gateway.http.ConnectFailedException
 import fireflyhinge.gateway.repeatForever
@@ -18,6 +19,7 @@
     private val mirrors: List<StoreMirror>,
     private val seeds: () -> List<String>,
     private val updates: FleetUpdates,
+    private val evidence: CrashEvidence,
 ) {
     private val log = LoggerFactory.getLogger(javaClass)
     private val fleet = updates.fleet
@@ -92,16 +94,19 @@
     }
 
     /** The state that this VM sends to others. */
-    fun localState() = PeerStateMessage(fleet.all(), mirrors.associate { it.kind to it.revision })
+    fun localState() =
+        PeerStateMessage(fleet.all(), mirrors.associate { it.kind to it.revision }, evidence.recent())
 
     /** Applies the state [theirs] of another VM and returns this VM's own. */
     fun received(theirs: PeerStateMessage): PeerStateMessage {
         updates.merge(theirs.vms)
+        evidence.merge(theirs.evidence)
         return localState()
     }
 
     private suspend fun applyAnswer(theirs: PeerStateMessage, address: String) {
         updates.merge(theirs.vms)
+        evidence.merge(theirs.evidence)
         for (mirror in mirrors) {
             if (!mirror.outdated(theirs.revisions[mirror.kind] ?: 0)) continue
             mirror.adopt(PeerMessages.listing(peers.get(address, FEED_PATH + mirror.kind.name)), address)
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerMessages.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerMessages.kt
@@ -29,6 +29,7 @@
         exchange.vms.forEach { list.add(encode(it)) }
         val revisions = root.putObject("revisions")
         exchange.revisions.forEach { (kind, revision) -> revisions.put(kind.name, revision) }
+        if (!exchange.evidence.empty) root.set<ObjectNode>("evidence", EvidenceCodec.encode(exchange.evidence))
         return mapper.writeValueAsBytes(root)
     }
 
@@ -39,6 +40,7 @@
         return PeerStateMessage(
             vms,
             StoreObjectKind.entries.associateWith { revisions.path(it.name).longIn(NON_NEGATIVE) ?: 0 },
+            EvidenceCodec.decode(root.path("evidence")),
         )
     }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PlatformStore.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PlatformStore.kt
@@ -12,6 +12,12 @@
     /** Waits up to [waitMillis] for changes of [kind] after [revision]. */
     suspend fun watch(kind: StoreObjectKind, revision: Long, waitMillis: Long): StoreReadResult
 
+    /** Writes object [name] of [kind], which belongs to this system. Returns whether the store confirmed the write. */
+    suspend fun put(kind: StoreObjectKind, name: String, body: String): Boolean
+
+    /** Removes object [name] of [kind]. Returns whether it is gone. */
+    suspend fun remove(kind: StoreObjectKind, name: String): Boolean
+
     /** Writes the entry of a VM, so that other VMs can discover it. Returns whether the store confirmed the write. */
     suspend fun register(record: VmRecord): Boolean
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/CrashDetector.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/CrashDetector.kt
@@ -1,5 +1,6 @@
 package fireflyhinge.gateway.forward
 
+import fireflyhinge.forward.CrashEvidence
 import fireflyhinge.forward.ReplicaState
 import fireflyhinge.gateway.http.ConnectFailedException
 import fireflyhinge.gateway.http.ConnectionPool
@@ -13,11 +14,12 @@
 
 /**
  * Tells replicas that crashed from those that only closed a connection: nothing listens at the address of the former.
- * All coroutines must run on one thread.
+ * Collects the evidence on why they crashed. All coroutines must run on one thread.
  */
 internal class CrashDetector(
     private val pool: ConnectionPool,
     private val scope: CoroutineScope,
+    private val evidence: CrashEvidence,
     registry: PrometheusRegistry,
 ) {
     private val broken = HashMap<ReplicaState, ArrayList<BrokenRun>>()
@@ -29,6 +31,9 @@
             .labelNames("service")
             .register(registry)
 
+    /** Records that a replica sent a sound response to the request of [context], which began at [beganMillis]. */
+    fun recordSound(context: RequestContext, beganMillis: Long) = evidence.recordSound(context.traits, beganMillis)
+
     /** Records that [run] broke off at [state]'s replica. */
     fun record(state: ReplicaState, run: BrokenRun) {
         // A replica that leaves ends after its last requests, or cuts them off.
@@ -72,6 +77,8 @@
             .addKeyValue("settled", runs.size - suspects.size)
             .addKeyValue("unsettled", suspects.map { it.toLogText() })
             .log("replica crashed")
+        val crash = "${state.replica.id}@${state.replica.startedAt}"
+        evidence.recordCrash(crash, suspects.map { it.context.traits })
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
@@ -30,7 +30,7 @@
     private val failover: FailoverTarget?,
     private val crashes: CrashDetector,
 ) {
-    private val progress = RunProgress()
+    private val progress = RunProgress { crashes.recordSound(context, it) }
     private var lastEventMillis = monotonicMillis()
     private var waiting = true
     private var failedOver = false
@@ -127,6 +127,7 @@
         // A resumed run that sends no event of its own does not prove that the stream was already complete.
         if (!response.started || order.awaitingFirstEvent) return interrupted("ended without an event")
         response.finish()
+        progress.recordEnd()
         return ReadResult.Complete(DecodeOutcome.Completed)
     }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Forwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Forwarder.kt
@@ -81,12 +81,10 @@
             is Outcome.Failure -> refuse(request, metadata, admitted, response)
             is Outcome.Success -> {
                 val context = RequestContext.of(request, metadata, admitted.value).also { progress.context = it }
-                if (stop.admits(context)) {
-                    chargeAndForward(context, response)
-                    stop.recordEnd(context)
-                } else {
-                    fail(context, FailureMapper.stopped(context), response)
-                }
+                val refusal = pipeline.guard.refusal(context) ?: stop.refusal(context)
+                if (refusal != null) return fail(context, refusal, response)
+                chargeAndForward(context, response)
+                stop.recordEnd(context)
             }
         }
     }
@@ -111,10 +109,12 @@
     private suspend fun forward(context: RequestContext, response: ResponseWriter) {
         val result =
             withTimeoutOrNull(maxOf(1, context.remainingMillis)) {
-                if (context.admission.route.kind == CallKind.STREAM) {
-                    pipeline.streams.run(context, response)
-                } else {
-                    pipeline.plain.run(context)
+                pipeline.guard.forward(context, response) {
+                    if (context.admission.route.kind == CallKind.STREAM) {
+                        pipeline.streams.run(context, response)
+                    } else {
+                        pipeline.plain.run(context)
+                    }
                 }
             }
         when (result) {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
@@ -2,6 +2,7 @@
 
 import fireflyhinge.forward.ReplicaStage
 import fireflyhinge.forward.ReplicaState
+import fireflyhinge.gateway.http.monotonicMillis
 import fireflyhinge.result.Outcome
 import fireflyhinge.result.ResultCode
 import kotlinx.coroutines.CancellationException
@@ -68,7 +69,8 @@
 
     private fun mayAttempt(context: RequestContext, attempts: Attempts): Boolean {
         val allowed = attempts.sends < context.admission.route.maxAttempts && attempts.undelivered < MAX_UNDELIVERED
-        return allowed && context.remainingMillis > 0 && (context.admission.route.retryable || !context.mayHaveRun)
+        val repeatable = context.admission.route.retryable || !context.mayHaveRun
+        return allowed && context.remainingMillis > 0 && !context.barred && repeatable
     }
 
     private fun send(context: RequestContext, attempts: Attempts, state: ReplicaState) {
@@ -154,6 +156,7 @@
                 Outcome.Failure(ResultCode.CAPACITY_EXHAUSTED, retryAfterMillis = FULL_RETRY_AFTER_MILLIS)
             return null
         }
+        crashes.recordSound(context, monotonicMillis())
         val good = result.status < SERVER_ERROR
         state.recordResponse(good)
         val response = ForwardResult.Response(result.status, result.headers, result.body)
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlannedStop.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlannedStop.kt
@@ -2,6 +2,7 @@
 
 import fireflyhinge.forward.StopAdmission
 import fireflyhinge.gateway.http.monotonicMillis
+import fireflyhinge.result.Outcome
 
 /** The planned stop of this VM, if it was told to stop, and what that means for requests. Thread-safe. */
 internal class PlannedStop {
@@ -14,10 +15,11 @@
     /** Whether requests that still run are being ended. */
     val ended: Boolean get() = endMillis?.let { monotonicMillis() >= it } ?: false
 
-    /** Whether the request of [context] may still be taken. */
-    fun admits(context: RequestContext): Boolean {
-        val end = endMillis ?: return true
-        return admission.admits(context.admission.route, context.remainingMillis, end - monotonicMillis())
+    /** Returns the refusal of the request of [context], or null if it may still be taken. */
+    fun refusal(context: RequestContext): Outcome.Failure? {
+        val end = endMillis ?: return null
+        val admitted = admission.admits(context.admission.route, context.remainingMillis, end - monotonicMillis())
+        return if (admitted) null else FailureMapper.stopped(context)
     }
 
     /** Records that the request of [context] got its response, unless that was a refusal. */
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
@@ -22,7 +22,8 @@
             val state = routing.selector.select(context.service, ReplicaStage.PREFILL, avoid, near)
             val listed = number > 0 || backingOff(context, near)
             state ?: return if (listed) PrefillResult.Failed else PrefillResult.NoReplica
-            if ((retry || number > 0) && !routing.retries.tryAcquire(context.service)) return PrefillResult.Failed
+            val again = retry || number > 0
+            if (context.barred || again && !routing.retries.tryAcquire(context.service)) return PrefillResult.Failed
             avoid += state.replica.id
             val another = number + 1 < MAX_ATTEMPTS && routing.retries.isAvailable(context.service) &&
                 routing.selector.select(context.service, ReplicaStage.PREFILL, avoid, near) != null
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/RequestContext.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/RequestContext.kt
@@ -2,6 +2,7 @@
 
 import fireflyhinge.forward.Admission
 import fireflyhinge.forward.RequestMetadata
+import fireflyhinge.forward.RequestTraits
 import fireflyhinge.gateway.http.CallerRequest
 import fireflyhinge.gateway.http.monotonicMillis
 import kotlin.random.Random
@@ -18,6 +19,17 @@
     val service: String,
     val deadlineMillis: Long,
 ) {
+    /** Traits that the request shares with others. */
+    val traits: RequestTraits by lazy(LazyThreadSafetyMode.NONE) {
+        RequestTraits.of(metadata, service) {
+            val caller = admission.workspace?.name.orEmpty()
+            listOf(request.method, request.uri, caller).map { it.toByteArray() } + request.body
+        }
+    }
+
+    /** Whether requests with the traits of this one crash replicas, so that it may be sent to no further one. */
+    var barred = false
+
     /** Tokens charged to the workspace. */
     var cost = 0.0
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -42,7 +42,7 @@
             val route = context.admission.route
             val allowed = sends < route.maxAttempts && undelivered < MAX_UNDELIVERED
             val repeatable = (route.resumable && order.allNumbered) || !context.mayHaveRun
-            return allowed && context.remainingMillis > 0 && repeatable
+            return allowed && context.remainingMillis > 0 && !context.barred && repeatable
         }
     }
 
@@ -100,7 +100,8 @@
         private val response: ResponseWriter,
     ) : FailoverTarget {
         override suspend fun prepare(): Boolean {
-            if (!attempts.order.allNumbered || !routing.retries.tryAcquire(context.service)) return false
+            if (context.barred || !attempts.order.allNumbered) return false
+            if (!routing.retries.tryAcquire(context.service)) return false
             try {
                 // untilMillis = 0 means not to wait for a slot.
                 val target = slots.reserve(context, attempts.excluded, untilMillis = 0, resumed = response.started)
@@ -202,8 +203,14 @@
     ): DecodeStepResult {
         val state = target.state
         val id = state.replica.id
-        if (state.availability.backoffMillis > 0) {
-            context.attemptLog += "decode $id not sent, it asked for a pause"
+        val obstacle =
+            when {
+                context.barred -> "such requests crash replicas"
+                state.availability.backoffMillis > 0 -> "it asked for a pause"
+                else -> null
+            }
+        if (obstacle != null) {
+            context.attemptLog += "decode $id not sent, $obstacle"
             attempts.undelivered++
             return DecodeStepResult.NotRun
         }
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
@@ -1,8 +1,13 @@
 package fireflyhinge.gateway.fleet
 
+import fireflyhinge.forward.CrashEvidence
+import fireflyhinge.forward.CrashSighting
+import fireflyhinge.forward.EvidenceReport
 import fireflyhinge.forward.StoreItem
 import fireflyhinge.forward.StoreObjectKind
 import fireflyhinge.forward.StoreReadResult
+import fireflyhinge.forward.Trait
+import fireflyhinge.forward.TraitReport
 import fireflyhinge.forward.VmRecord
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
@@ -11,6 +16,12 @@
     private val vm = VmRecord("vm-1", "10.1.0.3:80", "10.1.0.3:81", "north", 5, 7, ready = true, mapOf("r1" to 9L))
     private val good = PeerMessages.encode(PeerStateMessage(listOf(vm), emptyMap())).decodeToString()
 
+    private val evidence =
+        EvidenceReport(
+            listOf(TraitReport(Trait(Trait.Kind.PART, "m", "a1"), listOf(CrashSighting("r1@5", "c3", 9)), 7)),
+            mapOf("m" to 2L),
+        )
+
     /** Guards against calls to addresses that are none, and against records that no later one replaces. */
     @Test
     fun anOddRecordIsLeftOut() {
@@ -57,6 +68,30 @@
         assertEquals("w" to 2.5, PeerMessages.loan("""{"workspace":"w","tokens":2.5}""".toByteArray()))
     }
 
+    /** Guards against a message that fills memory with evidence, or makes a VM refuse requests by odd values. */
+    @Test
+    fun oddEvidenceIsLeftOut() {
+        val text = EvidenceCodec.encode(evidence).toString()
+        val odd =
+            mapOf(
+                "\"p/a1/m\"" to
+                    listOf("\"\"", "7", "\"p/a1\"", "\"x/a1/m\"", "\"p//m\"", "\"p/${"a".repeat(99)}/m\"", "null"),
+                "\"r1@5\"" to listOf("\"\"", "7", "null", "\"${"r".repeat(200)}\""),
+                "\"c3\"" to listOf("\"\"", "{}", "\"${"c".repeat(99)}\""),
+                "\"age\":9" to listOf("\"age\":-1", "\"age\":1e400", "\"age\":\"9\"", "\"age\":99999999999"),
+            )
+        val taken =
+            odd.flatMap { (field, values) -> values.map { text.replace(field, it) } }
+                .filter { EvidenceCodec.decode(it.toByteArray()).traits.isNotEmpty() }
+        assertEquals(emptyList<String>(), taken)
+        listOf("[]", "7", "{}", "{\"traits\":7}", "{\"sound_ages\":[]}").forEach {
+            assertEquals(EvidenceReport(), EvidenceCodec.decode(it.toByteArray()), it)
+        }
+        val many = EvidenceReport(List(999) { TraitReport(Trait(Trait.Kind.PART, "m", "a$it"), emptyList()) })
+        val decoded = EvidenceCodec.decode(EvidenceCodec.encode(many).toString().toByteArray())
+        assertEquals(CrashEvidence.MAX_REPORTED, decoded.traits.size)
+    }
+
     /** Guards against a rename that reaches the messages between VMs of two versions. */
     @Test
     fun theNamesInMessagesStay() {
@@ -65,16 +100,25 @@
                 """"started_at":5,"beat":7,"ready":true,"tokens":{"r1":9}}"""
         val exchange = PeerStateMessage(listOf(vm), StoreObjectKind.entries.associateWith { it.ordinal.toLong() })
         val listing = StoreReadResult.Listing(listOf(StoreItem("a", 3, "{}")), 4)
+        val told =
+            """{"traits":[{"trait":"p/a1/m","sound_age":7,"crashes":[{"crash":"r1@5","request":"c3","age":9}]}],""" +
+                """"sound_ages":{"m":2}}"""
         val cases =
             mapOf(
                 PeerMessages.encode(exchange) to
-                    """{"vms":[$vms],"revisions":{"CONFIGURATION":0,"REPLICAS":1,"VMS":2}}""",
+                    """{"vms":[$vms],"revisions":{"CONFIGURATION":0,"REPLICAS":1,"VMS":2,"CRASHES":3}}""",
+                PeerMessages.encode(exchange.copy(evidence = evidence)) to
+                    """{"vms":[$vms],"revisions":{"CONFIGURATION":0,"REPLICAS":1,"VMS":2,"CRASHES":3},""" +
+                    """"evidence":$told}""",
+                EvidenceCodec.encode(evidence).toString().toByteArray() to told,
                 PeerMessages.encode(listing) to
                     """{"revision":4,"items":[{"name":"a","revision":3,"body":"{}"}]}""",
                 PeerMessages.encodeLoan("w", 2.5) to """{"workspace":"w","tokens":2.5}""",
             )
         assertEquals(cases.values.toList(), cases.keys.map { it.decodeToString() })
-        assertEquals(exchange, PeerMessages.exchange(PeerMessages.encode(exchange)))
+        listOf(exchange, exchange.copy(evidence = evidence)).forEach {
+            assertEquals(it, PeerMessages.exchange(PeerMessages.encode(it)))
+        }
         val paths =
             listOf(
                 Gossip.EXCHANGE_PATH,
@@ -82,7 +126,8 @@
                 LoadBroadcaster.PATH,
                 PeerQuotaBorrower.PATH,
                 PeerQuotaBorrower.REPAY_PATH,
+                EvidenceBroadcaster.PATH,
             )
-        assertEquals(listOf("exchange", "feed/", "record", "borrow", "repay").map { "/peer/v1/$it" }, paths)
+        assertEquals(listOf("exchange", "feed/", "record", "borrow", "repay", "evidence").map { "/peer/v1/$it" }, paths)
     }
 }
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/StoreMirrorTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/StoreMirrorTest.kt
@@ -43,6 +43,10 @@
         }
 
         override suspend fun register(record: VmRecord) = true
+
+        override suspend fun put(kind: StoreObjectKind, name: String, body: String) = true
+
+        override suspend fun remove(kind: StoreObjectKind, name: String) = true
     }
 
     private fun follow(vararg answers: StoreReadResult) {
