--- a/daemon/src/test/kotlin/fireflyhinge/daemon/service/ServiceAnswerTest.kt
+++ b/daemon/src/test/kotlin/fireflyhinge/daemon/service/ServiceAnswerTest.kt
@@ -47,4 +47,18 @@
                 }
             }
         }
+
+    /** Guards against an answer that ends inside its head and reaches a caller as a whole one. */
+    @TestFactory
+    fun anAnswerThatEndsInsideItsHeadIsLost(): List<DynamicTest> =
+        listOf(
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Stamp: s\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "HTTP/1.0 200 OK\r\nX-Stamp: s\r\n\r\n",
+        ).map { head ->
+            DynamicTest.dynamicTest(head.lines().take(2).joinToString(separator = "|")) {
+                val passedOn = head.indices.filterNot { answered(head.take(it)) is SendResult.Lost }
+                assertEquals(emptyList<Int>(), passedOn)
+            }
+        }
 }
