Count a request that another process refused as an arrival for the retry budget

Cause: a send that another process at the address refused (421) counted as not delivered, so the next send took nothing from the budget. With a list that is seconds old each request made up to three such sends.

Ruled out: repeats of deadly requests (the violation names other requests; deadly ones were refused from 7.2 s on).

Change: a send that reached any process is an arrival, and what follows it takes a repeat from the budget.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
@@ -28,6 +28,9 @@
 
         /** Attempts that did not reach the replica: no connection, or another replica's address. */
         var undelivered = 0
+
+        /** Whether a send reached a process, if only one that refused it for another replica. */
+        var arrived = false
         var newest: ReplicaState? = null
         var errorResponse: ForwardResult.Response? = null
         var lastFailure = Outcome.Failure(ResultCode.NO_UPSTREAM, retryAfterMillis = NO_REPLICA_RETRY_AFTER_MILLIS)
@@ -64,7 +67,8 @@
 
     private fun next(context: RequestContext, attempts: Attempts): ReplicaState? {
         val state = routing.selector.select(context.service, ReplicaStage.PLAIN, attempts.excluded)
-        return state?.takeIf { attempts.sends == 0 || routing.retries.tryAcquire(context.service) }
+        val repeated = attempts.sends > 0 || attempts.arrived
+        return state?.takeIf { !repeated || routing.retries.tryAcquire(context.service) }
     }
 
     private fun mayAttempt(context: RequestContext, attempts: Attempts): Boolean {
@@ -141,6 +145,7 @@
         result: SendResult.Responded,
     ): ForwardResult? {
         context.attemptLog += "${state.replica.id} ${result.status}${if (result.metadata.notRun) " not run" else ""}"
+        attempts.arrived = true
         result.metadata.load?.let(state::recordLoad)
         if (result.metadata.notRun) {
             context.recordNotRun()
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -24,6 +24,9 @@
         /** Runs sent to decode replicas. */
         var sends = 0
 
+        /** Whether a run reached a process, if only one that refused it for another replica. */
+        var arrived = false
+
         /** Prefills started. */
         var prefillCount = 0
 
@@ -79,7 +82,7 @@
         slotDeadlineMillis: Long,
         response: ResponseWriter,
     ): DecodeTarget? {
-        if (attempts.sends > 0 && !routing.retries.tryAcquire(context.service)) {
+        if (attempts.arrived && !routing.retries.tryAcquire(context.service)) {
             context.attemptLog += "no retry budget left"
             return null
         }
@@ -228,6 +231,7 @@
         val failover = if (mayRetry) Failover(context, attempts, response) else null
         val outcome = DecodeSession(sender, context, attempts.order, response, failover, crashes).run(state, call)
         context.attemptLog += "decode $id $outcome"
+        if (outcome !is DecodeOutcome.NotSent) attempts.arrived = true
         return when (outcome) {
             is DecodeOutcome.Completed -> {
                 state.recordResponse(success = true)
