Leave an entry alone for 30 s after another process has answered at its address

Callers saw: requests that take longer or are refused while the list of replicas is seconds old, as beside a silent store.

Cause: a 421 counted like a missing response, so the entry was tried again after 1 to 4 s, by each VM and each time with a prompt that was read for it, although a process that is gone never comes back under its id.

Change: what a 421 says holds for 30 s, for all senders; a new entry of the replica is another replica and not affected.

--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaAvailability.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaAvailability.kt
@@ -4,8 +4,8 @@
 import fireflyhinge.time.millis
 
 /**
- * What one incarnation of a replica said about new requests of this VM. Unlike [ReplicaHealth], a later response never
- * revokes it. Thread-safe.
+ * What was said about new requests of this VM at the address of one incarnation of a replica. Unlike [ReplicaHealth], a
+ * later response never revokes it. Thread-safe.
  */
 class ReplicaAvailability(private val clock: MonotonicClock) {
     private var backoffUntil = Long.MIN_VALUE
@@ -15,6 +15,12 @@
     var leaving = false
         private set
 
+    private var replacedUntil = Long.MIN_VALUE
+
+    /** Whether another process recently answered at the replica's address. */
+    val replaced: Boolean
+        @Synchronized get() = clock.millis() < replacedUntil
+
     /** Milliseconds until the replica wants requests again, or 0. */
     val backoffMillis: Long
         @Synchronized get() = clock.millis().let { now -> if (backoffUntil <= now) 0 else backoffUntil - now }
@@ -34,8 +40,15 @@
         return news && backoffMillis > 0
     }
 
+    /** Records that another process answered at the replica's address. Returns whether that is news. */
+    @Synchronized
+    fun recordReplaced(): Boolean = !replaced.also { replacedUntil = clock.millis() + REPLACED_MILLIS }
+
     /** Bounds of what a replica may ask for. */
     companion object {
+        /** Replicas that end disappear from the list sooner, unless the store is away. */
+        private const val REPLACED_MILLIS = 30_000L
+
         /** A replica that states an absurd time is tried again after this one. */
         const val MAX_BACKOFF_MILLIS = 300_000L
     }
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
@@ -81,7 +81,7 @@
     val leaving: Boolean get() = replica.leaving || availability.leaving
 
     /** Whether the replica accepts new requests of this VM. */
-    val accepting: Boolean get() = !leaving && availability.backoffMillis == 0L
+    val accepting: Boolean get() = !leaving && !availability.replaced && availability.backoffMillis == 0L
 
     /** Whether the replica is in backoff because it recently did not respond. */
     val unresponsive: Boolean @Synchronized get() = health.inBackoff(clock.millis())
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaNotices.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaNotices.kt
@@ -29,6 +29,9 @@
             leaving.labelValues(service).inc()
             event(state).log("replica announced that it leaves; it gets no new requests")
         }
+        if (metadata.otherReplica && state.availability.recordReplaced()) {
+            event(state).log("another process has the address of a replica; it gets no requests")
+        }
         val asked = metadata.backoffMillis ?: return
         if (!state.availability.requestBackoff(asked)) return
         backoffs.labelValues(service).inc()
