Name a trait only if its crashes are no coincidence

All three decode replicas crashed within 0.35 s; the part c2, which a fifth of the requests have, was at each of them. The deadly request of one of the crashes had been left by its caller, so nothing with more crashes explained c2, and one sound response without it was enough to name it.

Cause: three crashes count the same for a part that one request in a hundred has and for one that every fifth has. Where many requests wait at a replica, the latter is at nearly every crash; and while few are served, no response clears it.

Change: evidence has the number of requests that had not begun at each crash, and the sound responses since, of all VMs (up to 32 in a scope, each with an id so that copies merge). A trait is named if, whatever share of the requests has it, being in all of its crashes and in none of these responses has a probability of at most 1 in 100. That replaces the rule that one sound response must be known.

Ruled out: more crashes before a part is named (the bound is the fifth crash, and each costs a replica); a share of its own requests (most parts have one or two).

Before: CrashEvidenceTest, case "a part that many requests have, while few are served", fails on (near is refused).

--- a/core/src/main/kotlin/fireflyhinge/forward/CrashEvidence.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/CrashEvidence.kt
@@ -10,8 +10,7 @@
 class CrashEvidence(private val clock: MonotonicClock = MonotonicClock.SYSTEM) {
     private val table = TraitTable(CAPACITY, RETENTION_MILLIS)
 
-    /** Time of the newest sound response in each scope. */
-    private val soundScopes = LruMap<String, Long>(MAX_SCOPES)
+    private val responses = SoundResponses()
 
     /** Time of the newest sound response to requests with each part, suspected or not. */
     private val soundParts = LruMap<Trait, Long>(MAX_SOUND_PARTS)
@@ -32,7 +31,7 @@
         change { now ->
             val id = crash.take(MAX_CRASH_CHARS)
             requests.count { request ->
-                val seen = mapOf(id to TraitEvidence.Seen(now, request.whole.id))
+                val seen = mapOf(id to TraitEvidence.Seen(now, request.whole.id, requests.size))
                 request.all.count { table.update(it, seen, sound = null, now) } > 0
             }
         }
@@ -40,7 +39,8 @@
     /** Records that a response to a request with [traits] began at [beganMillis], a monotonic time, and went on. */
     fun recordSound(traits: RequestTraits, beganMillis: Long) =
         change { now ->
-            recordScope(traits.scope, beganMillis)
+            responses.record(traits.scope, beganMillis)
+            if (table.size > 0) cachedUntil = Long.MIN_VALUE
             traits.parts.forEach { soundParts[it] = maxOf(beganMillis, soundParts[it] ?: Long.MIN_VALUE) }
             val repeated = table.all.any { it.evidence.trait.kind == Trait.Kind.REQUEST }
             val suspected = if (repeated) traits.all else traits.parts
@@ -50,9 +50,15 @@
     /** Merges what another VM knows. */
     fun merge(report: EvidenceReport) =
         change { now ->
-            report.soundAgesMillis.forEach { (scope, age) -> recordScope(scope, now - age) }
+            report.soundAgesMillis.forEach { (scope, ages) ->
+                val news = responses.add(scope, ages.mapValues { now - it.value })
+                if (news) cachedUntil = Long.MIN_VALUE
+            }
             report.traits.count { told ->
-                val seen = told.sightings.associate { it.crash to TraitEvidence.Seen(now - it.ageMillis, it.request) }
+                val seen =
+                    told.sightings.associate {
+                        it.crash to TraitEvidence.Seen(now - it.ageMillis, it.request, it.requests)
+                    }
                 val sound = listOfNotNull(soundParts[told.trait], told.soundAgeMillis?.let { now - it }).maxOrNull()
                 table.update(told.trait, seen, sound, now)
             }
@@ -64,18 +70,12 @@
         if (changes > 0) onNews()
     }
 
-    private fun recordScope(scope: String, time: Long) {
-        if (time <= (soundScopes[scope] ?: Long.MIN_VALUE)) return
-        soundScopes[scope] = time
-        if (table.size > 0) cachedUntil = Long.MIN_VALUE
-    }
-
     /** The current verdicts. */
     @Synchronized
     fun verdicts(): CrashVerdicts {
         val now = clock.millis()
         if (now < cachedUntil) return cached
-        cached = CrashVerdicts.of(table.all.map { it.evidence }, soundScopes.toMap(), now)
+        cached = CrashVerdicts.of(table.all.map { it.evidence }, Context(), now)
         cachedUntil = cached.nextChangeMillis?.let { now + it } ?: Long.MAX_VALUE
         return cached
     }
@@ -105,8 +105,18 @@
                 .take(MAX_REPORTED)
                 .map { it.evidence.toReport(now) }
         val scopes = traits.mapTo(HashSet()) { it.trait.scope }
-        val sound = scopes.mapNotNull { scope -> soundScopes[scope]?.let { scope to maxOf(0, now - it) } }
-        return EvidenceReport(traits, sound.toMap())
+        return EvidenceReport(traits, scopes.associateWith { responses.ages(it, now) }.filterValues { it.isNotEmpty() })
+    }
+
+    private inner class Context : CrashContext {
+        private val requests by lazy(LazyThreadSafetyMode.NONE) {
+            val wholes = table.all.map { it.evidence }.filter { it.trait.kind == Trait.Kind.REQUEST }
+            wholes.flatMap { it.sightings.keys }.groupingBy { it }.eachCount()
+        }
+
+        override fun requestsAt(crash: String): Int = requests[crash] ?: 0
+
+        override fun soundAfter(scope: String, time: Long): Int = responses.countAfter(scope, time)
     }
 
     /** Bounds of what is kept and told. */
@@ -122,7 +132,6 @@
 
         /** Characters of the id of a crash. */
         const val MAX_CRASH_CHARS = 128
-        private const val MAX_SCOPES = 64
         private const val MAX_SOUND_PARTS = 2_000
 
         /** Several exchanges of the largest fleet. */
--- a/core/src/main/kotlin/fireflyhinge/forward/CrashSuspect.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/CrashSuspect.kt
@@ -47,11 +47,19 @@
         private val ORDER =
             compareBy<CrashSuspect>({ it.trait.kind }, { -it.crashes.size }, { it.trait.toString() })
 
-        /** Returns the suspect that [evidence] makes, or null. [soundAt] is the newest sound response in its scope. */
-        fun of(evidence: TraitEvidence, soundAt: Long?): CrashSuspect? {
+        /**
+         * Probability below which a coincidence is ruled out. A trait that many requests share is in most crashes, and
+         * while hardly any request is served, nothing shows that it does no harm.
+         */
+        private const val MAX_COINCIDENCE = 0.01
+
+        /** Returns the suspect that [evidence] makes beside what is known of [others], or null. */
+        fun of(evidence: TraitEvidence, others: CrashContext): CrashSuspect? {
             val seen = evidence.open.values.sortedBy { it.at }
-            // While no request of the scope is served, the reason is not a trait.
-            if (seen.size < MIN_CRASHES || soundAt == null || soundAt <= seen.first().at) return null
+            if (seen.size < MIN_CRASHES) return null
+            val requests = evidence.open.map { (crash, each) -> maxOf(each.requests, others.requestsAt(crash)) }
+            val sound = others.soundAfter(evidence.trait.scope, seen.first().at)
+            if (Coincidence.probability(requests, sound) > MAX_COINCIDENCE) return null
             val enough = (MIN_CRASHES..seen.size).find { suffices(evidence.trait, seen.take(it)) } ?: return null
             return CrashSuspect(
                 trait = evidence.trait,
--- a/core/src/main/kotlin/fireflyhinge/forward/CrashVerdicts.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/CrashVerdicts.kt
@@ -13,9 +13,9 @@
     internal companion object {
         val NONE = CrashVerdicts(emptySet(), null)
 
-        /** Names traits at [now]. [soundAt] has the time of the newest sound response in each scope. */
-        fun of(evidence: Collection<TraitEvidence>, soundAt: Map<String, Long>, now: Long): CrashVerdicts {
-            val suspects = evidence.mapNotNull { CrashSuspect.of(it, soundAt[it.trait.scope]) }
+        /** Names traits at [now] by the [evidence] on each, beside what is known of [others]. */
+        fun of(evidence: Collection<TraitEvidence>, others: CrashContext, now: Long): CrashVerdicts {
+            val suspects = evidence.mapNotNull { CrashSuspect.of(it, others) }
             val due = suspects.flatMap { listOf(it.effectiveAt, it.endsAt) }.filter { it > now }
             val active = suspects.filter { it.effectiveAt <= now && now < it.endsAt }
             return CrashVerdicts(combinations(active), due.minOrNull()?.let { it - now })
--- a/core/src/main/kotlin/fireflyhinge/forward/TraitEvidence.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/TraitEvidence.kt
@@ -7,8 +7,8 @@
  * @property soundAt time at which the newest sound response to a request with the trait began, or null.
  */
 internal data class TraitEvidence(val trait: Trait, val sightings: Map<String, Seen>, val soundAt: Long?) {
-    /** A sighting on this VM's clock. */
-    data class Seen(val at: Long, val request: String)
+    /** A [CrashSighting] on this VM's clock. */
+    data class Seen(val at: Long, val request: String, val requests: Int)
 
     /** Sightings since the newest sound response. */
     val open: Map<String, Seen> = if (soundAt == null) sightings else sightings.filterValues { it.at > soundAt }
@@ -26,7 +26,9 @@
     fun toReport(now: Long): TraitReport =
         TraitReport(
             trait,
-            sightings.map { (crash, seen) -> CrashSighting(crash, seen.request, maxOf(0, now - seen.at)) },
+            sightings.map { (crash, seen) ->
+                CrashSighting(crash, seen.request, seen.requests, ageMillis = maxOf(0, now - seen.at))
+            },
             soundAt?.let { maxOf(0, now - it) },
         )
 
--- a/core/src/test/kotlin/fireflyhinge/forward/CrashEvidenceTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/CrashEvidenceTest.kt
@@ -23,6 +23,9 @@
         share()
     }
 
+    /** Enough responses to others to rule out a coincidence. */
+    private fun soundOthers(count: Int = MANY) = repeat(count) { sound(request("o$it", "common")) }
+
     private fun sound(request: RequestTraits) {
         vms[request.whole.id.hashCode().mod(vms.size)].recordSound(request, clock.millis())
         share()
@@ -36,8 +39,6 @@
     private fun isRefused(request: RequestTraits): Boolean =
         vms.map { it.verdicts().match(request) != null }.distinct().single()
 
-    private val other = request("other", "common")
-
     /** What happens, and which of [asked] are refused after that. */
     private class Case(val what: String, val refused: Set<String>, val play: CrashEvidenceTest.() -> Unit)
 
@@ -51,12 +52,12 @@
             "repeated" to request("repeated", "near"),
         )
 
-    /** Plays crashes [millis] apart, each with its requests, and a response to another request after each. */
-    private fun crashes(vararg each: List<RequestTraits>, millis: Long = 600) =
+    /** Plays crashes [millis] apart, each with its requests, and [others] responses to other requests after each. */
+    private fun crashes(vararg each: List<RequestTraits>, millis: Long = 600, others: Int = MANY) =
         each.forEachIndexed { index, requests ->
             crash("r$index", requests)
             pass(millis)
-            sound(other)
+            soundOthers(others)
         }
 
     private val cases =
@@ -98,6 +99,10 @@
             Case("replicas that crash together", emptySet()) {
                 crashes(*Array(6) { listOf(request("d$it", "dead")) }, millis = 10)
             },
+            Case("a part that many requests have, while few are served", emptySet()) {
+                val beside = { crash: Int -> List(5) { request("b$crash-$it", "p$crash-$it") } }
+                crashes(*Array(3) { beside(it) + request("n$it", "near") }, others = 2)
+            },
             Case("no sound response of any request", emptySet()) {
                 repeat(5) {
                     crash("r$it", listOf(request("d$it", "dead")))
@@ -127,7 +132,7 @@
 
     private fun play(case: Case) {
         pass(SETTLED_MILLIS)
-        sound(other)
+        soundOthers()
         pass(SETTLED_MILLIS)
         case.play(this)
         pass(SETTLED_MILLIS)
@@ -142,7 +147,7 @@
         assertTrue(isRefused(request("x", "dead")))
         pass(HOLD_MILLIS)
         assertEquals(false, isRefused(request("x", "dead")))
-        sound(other)
+        soundOthers()
         crash("later", listOf(request("d9", "dead")))
         assertTrue(isRefused(request("x", "dead")))
         sound(request("x", "dead"))
@@ -166,7 +171,7 @@
             vms.forEach { it.recordCrash("r$number", seen) }
             repeat(3) { share() }
             pass(600)
-            sound(other)
+            soundOthers()
         }
         pass(SETTLED_MILLIS)
         assertEquals(false, isRefused(request("x", "dead")))
@@ -191,7 +196,7 @@
             // The second crash of a suspect comes before the others crowd it out.
             vms[0].recordCrash("s$crash", listOf(request("e$crash", "dead")))
             pass(600)
-            vms[0].recordSound(other, clock.millis())
+            repeat(MANY) { vms[0].recordSound(request("o$it", "common"), clock.millis()) }
         }
         pass(SETTLED_MILLIS)
         assertTrue(vms[0].size <= CrashEvidence.CAPACITY)
@@ -199,6 +204,8 @@
     }
 
     private companion object {
+        const val MANY = 10
+
         /** Longer than the time after which a verdict takes effect. */
         const val SETTLED_MILLIS = 1_100L
 
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
@@ -16,10 +16,11 @@
     private val vm = VmRecord("vm-1", "10.1.0.3:80", "10.1.0.3:81", "north", 5, 7, ready = true, mapOf("r1" to 9L))
     private val good = PeerMessages.encode(PeerStateMessage(listOf(vm), emptyMap())).decodeToString()
 
+    private val sighting = CrashSighting("r1@5", "c3", requests = 2, ageMillis = 9)
     private val evidence =
         EvidenceReport(
-            listOf(TraitReport(Trait(Trait.Kind.PART, "m", "a1"), listOf(CrashSighting("r1@5", "c3", 9)), 7)),
-            mapOf("m" to 2L),
+            listOf(TraitReport(Trait(Trait.Kind.PART, "m", "a1"), listOf(sighting), soundAgeMillis = 7)),
+            mapOf("m" to mapOf("x9" to 2L)),
         )
 
     /** Guards against calls to addresses that are none, and against records that no later one replaces. */
@@ -78,6 +79,7 @@
                     listOf("\"\"", "7", "\"p/a1\"", "\"x/a1/m\"", "\"p//m\"", "\"p/${"a".repeat(99)}/m\"", "null"),
                 "\"r1@5\"" to listOf("\"\"", "7", "null", "\"${"r".repeat(200)}\""),
                 "\"c3\"" to listOf("\"\"", "{}", "\"${"c".repeat(99)}\""),
+                "\"requests\":2" to listOf("\"requests\":0", "\"requests\":-1", "\"other\":1", "\"requests\":\"2\""),
                 "\"age\":9" to listOf("\"age\":-1", "\"age\":1e400", "\"age\":\"9\"", "\"age\":99999999999"),
             )
         val taken =
@@ -101,8 +103,8 @@
         val exchange = PeerStateMessage(listOf(vm), StoreObjectKind.entries.associateWith { it.ordinal.toLong() })
         val listing = StoreReadResult.Listing(listOf(StoreItem("a", 3, "{}")), 4)
         val told =
-            """{"traits":[{"trait":"p/a1/m","sound_age":7,"crashes":[{"crash":"r1@5","request":"c3","age":9}]}],""" +
-                """"sound_ages":{"m":2}}"""
+            """{"traits":[{"trait":"p/a1/m","sound_age":7,""" +
+                """"crashes":[{"crash":"r1@5","request":"c3","requests":2,"age":9}]}],"sound_ages":{"m":{"x9":2}}}"""
         val cases =
             mapOf(
                 PeerMessages.encode(exchange) to
