Send deadly prompts in the soak, and check who is refused for crashes

One stream in fifty has a part that crashes the replica that begins to answer it; `deadly` checks the bound on such requests, `blamed` that no sound one is refused. The kinds of requests that a seed sends stay the same.

LedgerTest plants both violations.

--- a/soak/src/main/kotlin/fireflyhinge/soak/Caller.kt
+++ b/soak/src/main/kotlin/fireflyhinge/soak/Caller.kt
@@ -23,6 +23,9 @@
 
     private val log = LoggerFactory.getLogger(javaClass)
     private val random = Random(shared.seed * CALLERS + index)
+
+    /** Apart from [random], so that the same seed sends the same kinds of requests with and without deadly ones. */
+    private val deadly = Random(shared.seed * CALLERS + index + DEADLY_SALT)
     private var kept: CallerSocket? = null
     private var number = 0
 
@@ -46,14 +49,16 @@
     }
 
     private fun call(socket: CallerSocket) {
+        val kind = CallKind.entries.random(random)
         val request =
             Sent(
                 id = "s${shared.seed}-$index-${number++}",
-                kind = CallKind.entries.random(random),
+                kind = kind,
                 key = if (random.nextDouble() < OLD_KEY_SHARE) shared.keys.any(random::nextInt) else Keys.LASTING,
                 gateway = socket.gateway.index,
                 at = shared.clock.millis(),
                 idle = socket.answeredAt?.let { shared.clock.millis() - it },
+                deadly = kind.stream && deadly.nextDouble() < DEADLY_SHARE,
             )
         val bytes = socket.unasked()
         shared.ledger.sent(request)
@@ -113,5 +118,7 @@
         const val NEW_SHARE = 0.15
         const val OLD_KEY_SHARE = 0.25
         const val LEAVE_SHARE = 0.06
+        const val DEADLY_SHARE = 0.02
+        const val DEADLY_SALT = 1_000_000_007L
     }
 }
--- a/soak/src/main/kotlin/fireflyhinge/soak/CallerSocket.kt
+++ b/soak/src/main/kotlin/fireflyhinge/soak/CallerSocket.kt
@@ -33,6 +33,7 @@
                 "Authorization: Bearer ${request.key}",
                 "X-Deadline-Ms: $DEADLINE_MILLIS",
                 "X-Token-Count: 1000,100".takeIf { request.kind.stream },
+                "X-Prompt-Prefix: ${Expected.prompt(request)}".takeIf { request.kind.stream },
                 "Content-Length: ${body.length}",
             )
         socket.getOutputStream().write("${headers.joinToString("\r\n")}\r\n\r\n$body".toByteArray())
--- a/soak/src/main/kotlin/fireflyhinge/soak/Configuration.kt
+++ b/soak/src/main/kotlin/fireflyhinge/soak/Configuration.kt
@@ -69,10 +69,10 @@
         private val TOKENS_PER_SECOND = listOf(0, 1_000_000, 50_000)
         private const val SLOTS = 8
 
-        /** Entry of a replica at [address]. */
-        fun replica(service: String, address: String, zone: String, stage: String?): JsonNode {
+        /** Entry of a replica at [address] that started at [startedAt]. */
+        fun replica(service: String, address: String, zone: String, stage: String?, startedAt: Long = 0): JsonNode {
             val entry = mapper.createObjectNode().put("backend", service).put("addr", address).put("zone", zone)
-            entry.put("slots", SLOTS).put("state", "ready")
+            entry.put("slots", SLOTS).put("state", "ready").put("born", startedAt)
             if (stage != null) entry.put("stage", stage)
             return entry
         }
--- a/soak/src/main/kotlin/fireflyhinge/soak/Ledger.kt
+++ b/soak/src/main/kotlin/fireflyhinge/soak/Ledger.kt
@@ -4,10 +4,11 @@
 
 /** Compares what callers sent and got with what replicas ran and answered, while both go on. */
 internal class Ledger(
-    private val violations: Violations,
+    val violations: Violations,
     private val keys: Keys,
     private val calm: Calm,
     private val losses: LossRule,
+    private val crashes: CrashRule? = null,
 ) {
     private class Answered(val status: Int, val kind: Mischief)
 
@@ -72,6 +73,7 @@
         synchronized(entry) { entry.refusedWith }?.let {
             violations.add("refused", id, "runs after status $it kind=${sent.kind}")
         }
+        if (sent.deadly) crashes?.ran(sent)
         if (mustBeDenied(sent)) violations.add("key", id, "runs with withdrawn ${sent.key} at gateway ${sent.gateway}")
     }
 
@@ -95,6 +97,8 @@
         if (entry.sent.key == Keys.LASTING && reply.status in DENIALS) {
             violations.add("denied", id, "status=${reply.status} for a proper request")
         }
+        val blamed = !entry.sent.deadly && SUSPECTED in reply.body
+        if (blamed) violations.add("blamed", id, "refused for crashes that it did not cause")
         origin(entry, reply)
     }
 
@@ -152,6 +156,9 @@
         private val SUCCESS = 200..299
         private const val SHOWN = 80
 
+        /** Code of a refusal because such requests crash replicas. */
+        private const val SUSPECTED = "FH-3005"
+
         /** Time to apply a configuration: `bounds.configApplyMs` of the settings. */
         const val CONFIG_APPLY_MILLIS = 3_000L
 
--- a/soak/src/main/kotlin/fireflyhinge/soak/Link.kt
+++ b/soak/src/main/kotlin/fireflyhinge/soak/Link.kt
@@ -12,19 +12,30 @@
  * network does whose sender sends lost bytes again. */
 internal class Link(private val target: Int) : AutoCloseable {
     private val log = LoggerFactory.getLogger(javaClass)
-    private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
+
+    @Volatile
+    private var server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
+    private val port = server.localPort
     private val open = ConcurrentHashMap.newKeySet<Socket>()
 
     @Volatile
     private var mode = LinkMode.SOUND
 
     /** `host:port` at which the link accepts. */
-    val address: String get() = "127.0.0.1:${server.localPort}"
+    val address: String get() = "127.0.0.1:$port"
 
     init {
         thread(isDaemon = true, name = "link") { accept() }
     }
 
+    /** Resets all connections and refuses new ones for [millis], as if the process behind it had crashed. */
+    fun crash(millis: Long) {
+        close()
+        Thread.sleep(millis)
+        server = ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress())
+        thread(isDaemon = true, name = "link") { accept() }
+    }
+
     fun set(next: LinkMode) {
         mode = next
         if (next == LinkMode.RESET) open.forEach(::reset)
--- a/soak/src/main/kotlin/fireflyhinge/soak/ReplicaCall.kt
+++ b/soak/src/main/kotlin/fireflyhinge/soak/ReplicaCall.kt
@@ -11,6 +11,9 @@
     /** Whether the prompt is only read, which is no run. */
     val prefill: Boolean get() = head.headers["x-stage"] == "prefill"
 
+    /** Whether the replica crashes when it begins to answer. */
+    val deadly: Boolean get() = ",${Expected.DEADLY_PART}:" in head.headers["x-prompt-prefix"].orEmpty()
+
     /** Whether the system itself calls, and no caller's request is passed on. */
     val own: Boolean get() = path.startsWith("/-/")
 }
--- a/soak/src/main/kotlin/fireflyhinge/soak/ReplicaStandin.kt
+++ b/soak/src/main/kotlin/fireflyhinge/soak/ReplicaStandin.kt
@@ -8,11 +8,15 @@
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 
-/** Stands in for a replica that keeps the protocol or, as [plan] decides for each call, breaks it. */
+/**
+ * Stands in for a replica that keeps the protocol or, as [plan] decides for each call, breaks it. [onCrash] is called
+ * when it begins to answer a deadly request.
+ */
 internal class ReplicaStandin(
     val id: String,
     private val ledger: Ledger,
     private val plan: MischiefPlan,
+    private val onCrash: () -> Unit,
 ) : AutoCloseable {
     private val log = LoggerFactory.getLogger(javaClass)
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
@@ -67,10 +71,16 @@
             kind == Mischief.REJECTED -> script.reject(FULL)
             call.own -> script.system("""{"reserve":"place-$number"}""")
             call.prefill -> script.system("""{"kvHandle":"h$number","tokenCounts":1000,"version":1}""")
+            call.deadly -> crash(call)
             else -> script.run()
         }
     }
 
+    private fun crash(call: ReplicaCall) {
+        ledger.began(call.id.orEmpty(), call.path, call.body, call.workspace)
+        onCrash()
+    }
+
     private companion object {
         const val BACKLOG = 200
         const val MISDIRECTED = 421
--- a/soak/src/main/kotlin/fireflyhinge/soak/Sent.kt
+++ b/soak/src/main/kotlin/fireflyhinge/soak/Sent.kt
@@ -2,7 +2,7 @@
 
 /**
  * A request of a caller; [at] is in milliseconds of the soak's clock, [idle] is how long its connection had
- * been without a request, or null if it is new.
+ * been without a request, or null if it is new. A replica that begins to answer a [deadly] one crashes.
  */
 internal class Sent(
     val id: String,
@@ -11,4 +11,5 @@
     val gateway: Int,
     val at: Long,
     val idle: Long? = null,
+    val deadly: Boolean = false,
 )
--- a/soak/src/main/kotlin/fireflyhinge/soak/Soak.kt
+++ b/soak/src/main/kotlin/fireflyhinge/soak/Soak.kt
@@ -23,11 +23,11 @@
         val calm = Calm(clock)
         val keys = Keys(clock)
         val troubles = Troubles(clock)
-        val ledger = Ledger(violations, keys, calm, LossRule(troubles))
+        val ledger = Ledger(violations, keys, calm, LossRule(troubles), CrashRule(clock, calm, violations))
         val tally = Tally()
         print("seed=$seed gateways=$gatewayCount logs=${root.relativize(folder)}")
         val plan = MischiefPlan(seed, kinds)
-        Site(plan, gatewayCount, root, folder, ledger, violations).use { site ->
+        Site(plan, gatewayCount, root, folder, ledger, troubles).use { site ->
             site.open(listOf(Keys.LASTING, keys.current))
             val until = clock.millis() + millis
             val addresses = site.gateways.map { it.address }
--- a/soak/src/main/kotlin/fireflyhinge/soak/StoreStandin.kt
+++ b/soak/src/main/kotlin/fireflyhinge/soak/StoreStandin.kt
@@ -88,6 +88,7 @@
         val name = path.getOrNull(1)
         val since = query["watch"]?.toLong()
         return when {
+            method == "DELETE" -> remove(path[0], name.orEmpty()).let { OK to EMPTY }
             method in WRITES -> write(method, path[0], mapper.readTree(exchange.requestBody))
             name != null -> synchronized(lock) { objects[path[0] to name] }?.let { OK to it } ?: (ABSENT to EMPTY)
             since != null -> watch(path[0], since, query["waitMs"]?.toLong() ?: 0)
--- a/soak/src/test/kotlin/fireflyhinge/soak/LedgerTest.kt
+++ b/soak/src/test/kotlin/fireflyhinge/soak/LedgerTest.kt
@@ -8,7 +8,8 @@
     private val violations = Violations(seed = 1, clock = { now }, print = {})
     private val keys = Keys { now }
     private val calm = Calm { now }
-    private val ledger = Ledger(violations, keys, calm, LossRule(Troubles { now }))
+    private val ledger =
+        Ledger(violations, keys, calm, LossRule(Troubles { now }), CrashRule({ now }, calm, violations))
 
     private class Case(val what: String, val rules: List<String>, val play: LedgerTest.() -> Unit)
 
@@ -107,6 +108,27 @@
             )
         }
 
+    /** Runs [count] deadly requests a second apart, the last [late] after the time of contact. */
+    private fun crash(count: Int, late: Int, troubled: Boolean = false) =
+        repeat(count) { number ->
+            now += if (number == count - late) Ledger.CONTACT_MILLIS + 1 else 1_000
+            if (troubled) calm.begin(0)
+            val id = "deadly-$number"
+            ledger.sent(Sent(id, CallKind.ONCE, Keys.LASTING, gateway = 0, at = now, deadly = true))
+            began("/once/x", Expected.requestBody(id), id = id)
+        }
+
+    private fun crashes() =
+        listOf(
+            Case("three deadly requests after the bound", listOf()) { crash(count = 8, late = 3) },
+            Case("four deadly requests after the bound", listOf("deadly")) { crash(count = 9, late = 4) },
+            Case("deadly requests before the bound", listOf()) { crash(count = 7, late = 0) },
+            Case("deadly requests while not in touch", listOf()) { crash(count = 9, late = 4, troubled = true) },
+            Case("a sound request refused for crashes", listOf("blamed")) {
+                sent(CallKind.ONCE).also { got("""{"code":"FH-3005"}""", 503, stamp = null) }
+            },
+        )
+
     private fun unsound(answer: String) =
         Mischief.entries.filterNot { it.sound }.map { wrong ->
             Case("$wrong as success", listOf("mixed")) { ran(CallKind.ORDER, wrong = wrong).also { got(answer) } }
@@ -117,7 +139,8 @@
     fun eachPlantedViolationIsReported() {
         val answer = Expected.answerBody(ID, STAMP)
         val last = Expected.events(ID)
-        val cases = sound(answer, last) + runs() + answers(answer) + streams(last) + refusals() + unsound(answer)
+        val cases = sound(answer, last) + runs() + answers(answer) + streams(last) + refusals() + crashes() +
+            unsound(answer)
         cases.forEach { case ->
             val fresh = LedgerTest()
             case.play(fresh)
