Derive crash verdicts at most every 50 ms for sound responses

Cause: since sound responses count for all traits of their scope, each let the verdicts be derived anew from up to 1,000 traits.

Change: they take effect within 50 ms; crashes, and responses that clear a trait, at once as before.

CrashEvidenceTest, CrashVerdictTest and CrashingPromptPartTest pass.

--- a/core/src/main/kotlin/fireflyhinge/forward/CrashEvidence.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/CrashEvidence.kt
@@ -40,7 +40,7 @@
     fun recordSound(traits: RequestTraits, beganMillis: Long) =
         change { now ->
             responses.record(traits.scope, beganMillis)
-            if (table.size > 0) cachedUntil = Long.MIN_VALUE
+            refreshSoon(now)
             traits.parts.forEach { soundParts[it] = maxOf(beganMillis, soundParts[it] ?: Long.MIN_VALUE) }
             val repeated = table.all.any { it.evidence.trait.kind == Trait.Kind.REQUEST }
             val suspected = if (repeated) traits.all else traits.parts
@@ -52,7 +52,7 @@
         change { now ->
             report.soundAgesMillis.forEach { (scope, ages) ->
                 val news = responses.add(scope, ages.mapValues { now - it.value })
-                if (news) cachedUntil = Long.MIN_VALUE
+                if (news) refreshSoon(now)
             }
             report.traits.count { told ->
                 val seen =
@@ -70,6 +70,11 @@
         if (changes > 0) onNews()
     }
 
+    /** Lets verdicts follow sound responses of other requests, without being derived anew for each. */
+    private fun refreshSoon(now: Long) {
+        if (table.size > 0) cachedUntil = minOf(cachedUntil, now + REFRESH_MILLIS)
+    }
+
     /** The current verdicts. */
     @Synchronized
     fun verdicts(): CrashVerdicts {
@@ -133,6 +138,7 @@
         /** Characters of the id of a crash. */
         const val MAX_CRASH_CHARS = 128
         private const val MAX_SOUND_PARTS = 2_000
+        private const val REFRESH_MILLIS = 50L
 
         /** Several exchanges of the largest fleet. */
         private const val RECENT_MILLIS = 10_000L
