Merge sightings of a crash in any order

Found by reading: VMs that heard of the same crash kept the request, and the number of requests, that they heard of first, so VMs that know the same could name different parts, for as long as no further crash came.

Test: CrashEvidenceTest#repeatedReportsCountOnce, with different requests at each VM, failed before (two different results of three orders). CrashVerdictTest and CrashingPromptPartTest pass.

--- a/core/src/main/kotlin/fireflyhinge/forward/TraitEvidence.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/TraitEvidence.kt
@@ -8,7 +8,11 @@
  */
 internal data class TraitEvidence(val trait: Trait, val sightings: Map<String, Seen>, val soundAt: Long?) {
     /** A [CrashSighting] on this VM's clock. */
-    data class Seen(val at: Long, val request: String, val requests: Int)
+    data class Seen(val at: Long, val request: String, val requests: Int) {
+        /** What this and [other], of the same crash, say together, in any order. */
+        fun merge(other: Seen): Seen =
+            copy(request = minOf(request, other.request), requests = maxOf(requests, other.requests))
+    }
 
     /** Sightings since the newest sound response. */
     val open: Map<String, Seen> = if (soundAt == null) sightings else sightings.filterValues { it.at > soundAt }
@@ -18,7 +22,8 @@
 
     /** This evidence with [more] sightings, of which the newest [MAX_SIGHTINGS] are kept, and a sound response. */
     fun with(more: Map<String, Seen>, sound: Long?): TraitEvidence {
-        val all = (more + sightings).entries.sortedBy { it.value.at }.takeLast(MAX_SIGHTINGS)
+        val known = sightings.mapValues { (crash, seen) -> more[crash]?.let(seen::merge) ?: seen }
+        val all = (more + known).entries.sortedBy { it.value.at }.takeLast(MAX_SIGHTINGS)
         return TraitEvidence(trait, all.associate { it.key to it.value }, listOfNotNull(soundAt, sound).maxOrNull())
     }
 
--- a/core/src/test/kotlin/fireflyhinge/forward/CrashEvidenceTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/CrashEvidenceTest.kt
@@ -168,7 +168,9 @@
     fun repeatedReportsCountOnce() {
         val seen = listOf(request("d1", "dead"), request("d2", "dead"))
         repeat(2) { number ->
-            vms.forEach { it.recordCrash("r$number", seen) }
+            vms.forEachIndexed { index, vm ->
+                vm.recordCrash("r$number", seen + List(index) { request("o$index-$it", "other") })
+            }
             repeat(3) { share() }
             pass(600)
             soundOthers()
