--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -24,6 +24,9 @@
     private final List<Change> changes = new ArrayList<>();
     private final HttpServer server;
     private long revision = 1;
+    /** While this is set, calls are read and never answered; those that wait are not answered either. */
+    private volatile boolean silent;
+    private volatile int outages;
 
     Store(String host) throws IOException {
         server = HttpServer.create(new InetSocketAddress(host, 0), 100);
@@ -68,7 +71,19 @@
         notifyAll();
     }
 
+    /** Goes silent for [millis]: channels stay open, but what was asked on them until the end gets no answer. */
+    void beSilent(long millis) throws InterruptedException {
+        synchronized (this) {
+            outages++;
+            silent = true;
+        }
+        Thread.sleep(millis);
+        silent = false;
+    }
+
     private void handle(HttpExchange exchange) {
+        boolean asked = silent;
+        int outagesBefore = outages;
         try (exchange) {
             String[] path = exchange.getRequestURI().getPath().substring("/-/objects/".length()).split("/");
             Map<String, String> query = new HashMap<>();
@@ -79,6 +94,8 @@
             byte[] sent = exchange.getRequestBody().readAllBytes();
             ObjectNode answer = mapper.createObjectNode();
             int status = answer(exchange.getRequestMethod(), path, query, sent, answer);
+            // A channel on which a response is lost returns nothing further.
+            if (asked || silent || outages != outagesBefore) Thread.sleep(Long.MAX_VALUE);
             byte[] bytes = mapper.writeValueAsBytes(answer);
             exchange.getResponseHeaders().add("Content-Type", "application/json");
             exchange.sendResponseHeaders(status, bytes.length);
