Review: a part that crashes replicas is never named if streams have no length

With streams that end with their channel, the crash of a replica is taken for the end of the stream, so its cause is never found and all replicas go on crashing.

--- a/review/standin/Replica.java
+++ b/review/standin/Replica.java
@@ -15,6 +15,8 @@
     /** Speed at which prompts are read, as on the users' sheets. */
     static final double PROMPT_TOKENS_PER_MILLI = 55.5556;
     private static final String LEAVING = "Server-Leaving: 1\r\n";
+    /** The part of a prompt that crashes replicas. */
+    static final String DEADLY = "dead0001:";
     final String id;
     final String service;
     final String stage;
@@ -34,11 +36,16 @@
 
     /** [stage] is prefill, decode or plain. */
     Replica(String id, String service, String stage, String host, Record record) throws IOException {
+        this(id, service, stage, host, 0, record);
+    }
+
+    /** Listens at [port], or at a free one if that is 0. */
+    Replica(String id, String service, String stage, String host, int port, Record record) throws IOException {
         this.id = id;
         this.service = service;
         this.stage = stage;
         this.record = record;
-        server = new ServerSocket(0, 200, InetAddress.getByName(host));
+        server = new ServerSocket(port, 200, InetAddress.getByName(host));
         start(this::accept);
     }
 
@@ -132,11 +139,16 @@
             Thread.sleep(gapMillis);
             String text = "id: " + event + "\ndata: " + request + " " + event + "\n\n";
             write(out, unframed ? text : Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+            String parts = head.header("x-prompt-prefix");
+            if (parts != null && parts.contains(DEADLY)) crash();
         }
         if (!unframed) write(out, "0\r\n\r\n");
         record.add("%s: %s ends", id, request);
     }
 
+    /** Called when the replica has begun to write an answer on a deadly part of a prompt. */
+    protected void crash() {}
+
     private void send(OutputStream out, String status, String request, boolean stamp, String body, String... headers)
         throws IOException {
         StringBuilder head = new StringBuilder("HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n");
