Review: a sound replica that is silent for a moment loses its run to one that fails

A run is ended after 1.5 s of silence for a prepared replica; if that one fails, the begun answer is broken off.

--- a/review/standin/Replica.java
+++ b/review/standin/Replica.java
@@ -24,6 +24,7 @@
     private final ServerSocket server;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final AtomicLong numbers = new AtomicLong();
+    private final AtomicLong runs = new AtomicLong();
     private final long born = System.currentTimeMillis();
     /** Time that a plain request takes, and time between two events of a stream. */
     volatile long workMillis = 30;
@@ -31,6 +32,10 @@
     volatile long gapMillis = 25;
     /** Whether streams have neither a length nor chunks and end with their channel. */
     volatile boolean unframed = false;
+    /** Silence in the middle of each stream. */
+    volatile long pauseMillis = 0;
+    /** Of twenty runs, the replica fails so many with status 500. */
+    volatile int failing = 0;
     /** Whether the replica leaves, which it says in all its answers. */
     volatile boolean leaving = false;
 
@@ -126,6 +131,10 @@
     private void run(Http.Head head, byte[] body, String request, OutputStream out)
         throws IOException, InterruptedException {
         reached(request, "runs");
+        if (runs.incrementAndGet() % 20 < failing) {
+            send(out, "500 Internal Server Error", request, true, "failed");
+            return;
+        }
         if (!stage.equals("decode")) {
             Thread.sleep(workMillis);
             send(out, "200 OK", request, true, "answer of " + id + " to " + request);
@@ -137,6 +146,7 @@
         String last = head.header("last-event-id");
         for (int event = last == null ? 1 : Integer.parseInt(last) + 1; event <= events; event++) {
             Thread.sleep(gapMillis);
+            if (event == events / 2) Thread.sleep(pauseMillis);
             String text = "id: " + event + "\ndata: " + request + " " + event + "\n\n";
             write(out, unframed ? text : Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
             String parts = head.header("x-prompt-prefix");
