--- a/review/standin/DeadlyPart.java
+++ b/review/standin/DeadlyPart.java
@@ -9,14 +9,14 @@
 
 /** A part of prompts crashes each replica that begins to write an answer on it; streams have neither a length nor chunks. */
 public final class DeadlyPart {
-    private static final int MAKERS = 5;
-    private static final int READERS = 3;
+    private static final int MAKERS = 7;
+    private static final int READERS = 5;
     private static final long CONTACT_MILLIS = 4_000;
     private static final long BACK_MILLIS = 3_000;
-    private static final long CALM_MILLIS = 8_000;
-    private static final long DEADLY_MILLIS = 40_000;
-    private static final long SOUND_GAP_MILLIS = 150;
-    private static final int DEADLY_EVERY = 6;
+    private static final long CALM_MILLIS = 6_000;
+    private static final long DEADLY_MILLIS = 22_000;
+    private static final long SOUND_GAP_MILLIS = 60;
+    private static final int DEADLY_EVERY = 20;
     private static final int NAMED = 5;
     private static final int ALLOWED = 3;
     private static final int EVENTS = 40;
@@ -93,7 +93,7 @@
                 boolean quiet = record.now() - began < CALM_MILLIS;
                 boolean deadly = trouble && !quiet && number % DEADLY_EVERY == 0;
                 AtomicInteger[] count = quiet ? calm : since(NAMED) > 2 * CONTACT_MILLIS ? late : null;
-                Gateway gateway = gateways.get(number / DEADLY_EVERY % 2);
+                Gateway gateway = gateways.get((number + number / DEADLY_EVERY) % 2);
                 String id = String.format("%016x", 0xd000L + number);
                 Thread caller = new Thread(() -> call(gateway, id, deadly, count));
                 caller.start();
--- a/review/standin/Gateway.java
+++ b/review/standin/Gateway.java
@@ -70,6 +70,7 @@
         File log = folder.resolve(name + ".log").toFile();
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log));
         process = builder.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
     }
 
     private static List<String> command() throws IOException {
--- a/review/standin/MassRemoval.java
+++ b/review/standin/MassRemoval.java
@@ -9,13 +9,15 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Three of the replicas that make tokens are replaced at once, and leave without reporting `draining`. */
+/** Four of 31 model replicas are taken away at once; three of them leave without reporting `draining`. */
 public final class MassRemoval {
     private static final long DRAIN_MILLIS = 3_000;
-    private static final int LEAVING = 6;
+    private static final int LEAVING = 4;
+    /** Replicas that make tokens and stay. */
+    private static final int STAYING = 7;
     private static final int READERS = 20;
     /** Of those that leave, these report `draining`; the entries of the others are removed. */
-    private static final int REPORTING = 2;
+    private static final int REPORTING = 1;
     /** A replica that leaves ends when the runs of its time of draining have ended. */
     private static final long EXIT_MILLIS = DRAIN_MILLIS + 1_100;
 
@@ -70,6 +72,10 @@
             List<Decoder> old = new ArrayList<>();
             for (int number = 1; number <= LEAVING; number++) old.add(new Decoder("i-old" + number, host, record));
             old.forEach(it -> store.put("servers", it.id, it.entry("ready")));
+            for (int number = 1; number <= STAYING; number++) {
+                Decoder next = new Decoder("i-stay" + number, host, record);
+                store.put("servers", next.id, next.entry("ready"));
+            }
             for (Gateway gateway : gateways) gateway.start(store.address(), gateways, true);
             for (Gateway gateway : gateways) gateway.awaitReady();
             Thread.sleep(5_000);
@@ -83,7 +89,7 @@
                 long at = began + number / WAVE_REQUESTS * WAVE_MILLIS + number % WAVE_REQUESTS * GAP_MILLIS;
                 if (trouble && number == LEAVING_BEFORE_WAVE * WAVE_REQUESTS) {
                     sleepUntil(at - REMOVAL_LEAD_MILLIS, record);
-                    removedAt = leave(store, old, silent, host, record);
+                    removedAt = leave(store, old, silent, record);
                 }
                 sleepUntil(at, record);
                 String id = String.format("%016x", 0x5a00L + number);
@@ -120,15 +126,9 @@
         Thread.sleep(Math.max(0, millis - record.now()));
     }
 
-    /** Replaces [old] by as many new replicas. Returns when the entries of [silent] were removed. */
-    private static long leave(Store store, List<Decoder> old, List<Decoder> silent, String host, Record record)
+    /** Takes [old] away. Returns when the entries of [silent] were removed. */
+    private static long leave(Store store, List<Decoder> old, List<Decoder> silent, Record record)
         throws IOException, InterruptedException {
-        // The new ones start first.
-        for (int replica = 1; replica <= LEAVING; replica++) {
-            Decoder next = new Decoder("i-new" + replica, host, record);
-            store.put("servers", next.id, next.entry("ready"));
-        }
-        record.add("%d new replicas are registered", LEAVING);
         old.forEach(it -> it.leaving = true);
         for (Decoder replica : old.subList(0, REPORTING)) store.put("servers", replica.id, replica.entry("draining"));
         Thread.sleep(30);
--- a/review/standin/Replica.java
+++ b/review/standin/Replica.java
@@ -24,7 +24,6 @@
     private final ServerSocket server;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final AtomicLong numbers = new AtomicLong();
-    private final AtomicLong runs = new AtomicLong();
     private final long born = System.currentTimeMillis();
     /** Time that a plain request takes, and time between two events of a stream. */
     volatile long workMillis = 30;
@@ -34,8 +33,8 @@
     volatile boolean unframed = false;
     /** Silence in the middle of each stream. */
     volatile long pauseMillis = 0;
-    /** Of twenty runs, the replica fails so many with status 500. */
-    volatile int failing = 0;
+    /** Whether transfers to the replica would wait for over two seconds, so that it starts none. */
+    volatile boolean fetchesNothing = false;
     /** Whether the replica leaves, which it says in all its answers. */
     volatile boolean leaving = false;
 
@@ -130,11 +129,12 @@
 
     private void run(Http.Head head, byte[] body, String request, OutputStream out)
         throws IOException, InterruptedException {
-        reached(request, "runs");
-        if (runs.incrementAndGet() % 20 < failing) {
-            send(out, "500 Internal Server Error", request, true, "failed");
+        if (fetchesNothing && head.header("x-kv-source") != null) {
+            record.add("%s: %s not run", id, request);
+            send(out, "503 Service Unavailable", request, false, "", "X-Not-Executed: 1");
             return;
         }
+        reached(request, "runs");
         if (!stage.equals("decode")) {
             Thread.sleep(workMillis);
             send(out, "200 OK", request, true, "answer of " + id + " to " + request);
--- a/review/standin/ReplicaProcess.java
+++ b/review/standin/ReplicaProcess.java
@@ -47,7 +47,8 @@
              Replica replica = new Mortal(arguments[0], Integer.parseInt(arguments[2]), record)) {
             replica.unframed = Boolean.parseBoolean(arguments[3]);
             System.out.println(replica.entry("ready"));
-            Thread.sleep(110_000);
+            // The case holds the other end, so that this process ends with it.
+            System.in.read();
         }
     }
 
