Let an old partner not hide that the copy of the store is old

Cause: StoreMirror.outdated measures how long another VM has been newer, and forgets the time at each exchange with a VM that is not. With one newer VM of seven, most exchanges are with others that are as old, so the second is never reached and no copy is fetched. Ruled out: that exchanges fail (revisions arrive) or that the newer VM's copy cannot be read (a VM at revision 0 takes it).

The lag now counts from the first revision that the copy has not reached, and ends when it has.

StoreMirrorTest#aPartnerAsOldAsThisVmDoesNotHideANewerOne failed before (no copy fetched within the 3 s of configApplyMs), passes now; 5 of 5 tests of the class pass.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
@@ -33,7 +33,10 @@
     val state = StoreObjectCache()
 
     private val outage = StoreOutage(RECOVERY_MILLIS)
-    private var outdatedSince: Long? = null
+
+    /** If larger than [revision]: a revision of another VM's copy that this copy has yet to reach. */
+    private var newerRevision = 0L
+    private var newerSince = 0L
     private var listed = false
     private var redelivery: Job? = null
 
@@ -120,12 +123,12 @@
      * the store does not serve this VM or the watch has not caught up for a while, as on a dead connection.
      */
     fun outdated(theirs: Long): Boolean {
-        if (theirs <= state.revision) {
-            outdatedSince = null
-            return false
+        if (theirs <= state.revision) return false
+        if (newerRevision <= state.revision) {
+            newerRevision = theirs
+            newerSince = monotonicMillis()
         }
-        val since = outdatedSince ?: monotonicMillis().also { outdatedSince = it }
-        return outage.failures > 0 || state.revision == 0L || monotonicMillis() - since > WATCH_LAG_MILLIS
+        return outage.failures > 0 || state.revision == 0L || monotonicMillis() - newerSince > WATCH_LAG_MILLIS
     }
 
     /** Replaces this copy by the [listing] of [vm] if that is newer. */
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/StoreMirrorTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/StoreMirrorTest.kt
@@ -49,12 +49,13 @@
         override suspend fun remove(kind: StoreObjectKind, name: String) = true
     }
 
-    private fun follow(vararg answers: StoreReadResult) {
+    private fun follow(vararg answers: StoreReadResult): StoreMirror {
         val mirror =
             StoreMirror(StoreObjectKind.REPLICAS, ScriptedStore(*answers), scope) {
                 copies.add(monotonicMillis() to it.items().keys)
             }
         scope.launch { mirror.run() }
+        return mirror
     }
 
     private fun copy(): Pair<Long, Set<String>> =
@@ -109,7 +110,24 @@
         assertEquals(setOf("a"), copy().second)
     }
 
+    /** Guards against a copy that stays old because exchanges with VMs that are as old hide the VM that is not. */
+    @Test
+    fun aPartnerAsOldAsThisVmDoesNotHideANewerOne() {
+        val mirror = follow(listing(1, "a"))
+        copy()
+        val end = monotonicMillis() + APPLY_MILLIS
+        val found =
+            generateSequence { mirror.outdated(1) || mirror.outdated(5) }
+                .onEach { Thread.sleep(EXCHANGE_MILLIS) }
+                .takeWhile { monotonicMillis() < end }
+                .any { it }
+        assertTrue(found) { "no newer copy is fetched within $APPLY_MILLIS ms" }
+    }
+
     private companion object {
+        /** Time within which changes must take effect (the platform's `configApplyMs`). */
+        const val APPLY_MILLIS = 3_000L
+        const val EXCHANGE_MILLIS = 100L
         val UNEXPECTED = StoreReadResult.Unavailable("stands for an error that the store's client does not expect")
         const val AWAIT_SECONDS = 5L
     }
