Check beside the watch whether the store still responds

Cause: a response lost by the store leaves its connection open, and the watch on it looks like one without news until 27.5 s are over. Each change sends all VMs into the next watch within 0.6 s, so an outage just after it catches all of them, and no other VM has a newer copy. Keep-alive probes find nothing, since the connection is sound.

Change: a short call beside the watch (CheckedWatch) asks for changes once the copy is unconfirmed for a while; a change or a failure ends the watch. One VM asks every 1.2 s; the others learn the age of its response from exchanges and from the answers to load messages, if their copies have the same digest, and ask on their own from 1.8 to 2.4 s on (CopyFreshness). Revisions do not serve for this: they grow with other kinds.

--- a/core/src/main/kotlin/fireflyhinge/forward/StoreObjectCache.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/StoreObjectCache.kt
@@ -1,5 +1,6 @@
 package fireflyhinge.forward
 
+import fireflyhinge.auth.sha256Hex
 import fireflyhinge.time.MonotonicClock
 import fireflyhinge.time.millis
 
@@ -18,6 +19,11 @@
     /** Revision of the cached objects; 0 before the first listing. */
     val revision: Long @Synchronized get() = cachedRevision
 
+    /** Digest of names and revisions of the cached objects without retained ones; empty before the first listing. */
+    var digest = ""
+        @Synchronized get
+        private set
+
     /** Cached objects by name, including absent ones that are still retained. */
     @Synchronized
     fun items(): Map<String, StoreItem> = objects
@@ -25,8 +31,7 @@
     /** The cached objects as the store would list them, without retained absent ones. */
     @Synchronized
     fun listing(): StoreReadResult.Listing {
-        val present = objects.filterKeys { it !in retainedUntil }
-        return StoreReadResult.Listing(present.values.toList(), cachedRevision)
+        return StoreReadResult.Listing(present().values.toList(), cachedRevision)
     }
 
     /**
@@ -42,6 +47,7 @@
         val retained = retain(absent, retentionMillis)
         objects = next + objects.filterKeys { it in retained }
         cachedRevision = revision
+        digest = digestOf(present())
         return true
     }
 
@@ -57,9 +63,12 @@
         retainedUntil.keys.removeAll(changed.keys)
         objects = objects + changed - (removed - retain(removed, retentionMillis))
         cachedRevision = changes.revision
+        digest = digestOf(present())
         return true
     }
 
+    private fun present() = objects.filterKeys { it !in retainedUntil }
+
     /** Returns those of [absent] that are retained. Seeing an absence again does not change its expiry. */
     private fun retain(absent: Set<String>, millis: Long): Set<String> {
         if (millis > 0) absent.forEach { retainedUntil.getOrPut(it) { clock.millis() + millis } }
@@ -80,4 +89,13 @@
     /** Milliseconds until the next retained object expires, at least 1; null if none is retained. */
     @Synchronized
     fun millisToNextEviction(): Long? = retainedUntil.values.minOrNull()?.let { maxOf(1, it - clock.millis()) }
+
+    private companion object {
+        const val DIGEST_CHARS = 16
+
+        fun digestOf(objects: Map<String, StoreItem>): String {
+            val text = objects.values.sortedBy { it.name }.joinToString("\n") { "${it.revision} ${it.name}" }
+            return sha256Hex(text.toByteArray()).take(DIGEST_CHARS)
+        }
+    }
 }
--- /dev/null
+++ b/core/src/test/kotlin/fireflyhinge/forward/CopyFreshnessTest.kt
@@ -0,0 +1,48 @@
+package fireflyhinge.forward
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class CopyFreshnessTest {
+    private val clock = ManualClock()
+    private val freshness = CopyFreshness(clock)
+
+    /** Guards against a silent store that is asked again too late for a change to take effect in time. */
+    @Test
+    fun theStoreIsAskedBeforeTheCopyIsTooOld() {
+        assertEquals(0, freshness.millisToCheck(first = false))
+        repeat(100) {
+            freshness.confirm()
+            val first = freshness.millisToCheck(first = true)
+            val other = freshness.millisToCheck(first = false)
+            assertTrue(first in 1..other - SPREAD_MILLIS) { "$first, others $other" }
+            assertTrue(other < APPLY_MILLIS - SPREAD_MILLIS) { "others $other" }
+            clock.advance(other)
+            assertEquals(0, freshness.millisToCheck(first = false))
+        }
+    }
+
+    /** Guards against a late report of another VM that makes a copy look older or newer than it is. */
+    @Test
+    fun onlyANewerConfirmationCounts() {
+        assertNull(freshness.ageMillis)
+        freshness.confirm(ageMillis = 400)
+        assertEquals(400, freshness.ageMillis)
+        val left = freshness.millisToCheck(first = false)
+        freshness.confirm(ageMillis = 900)
+        assertEquals(400, freshness.ageMillis)
+        assertEquals(left, freshness.millisToCheck(first = false))
+        clock.advance(100)
+        assertEquals(500, freshness.ageMillis)
+    }
+
+    private companion object {
+        /** Time within which changes must take effect (the platform's `configApplyMs`). */
+        const val APPLY_MILLIS = 3_000L
+
+        /** Time in which a response reaches the other VMs. */
+        const val SPREAD_MILLIS = 500L
+    }
+}
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -14,7 +14,9 @@
 import fireflyhinge.forward.StoreObjectKind
 import fireflyhinge.forward.StoreReadResult
 import fireflyhinge.forward.VmRecord
+import fireflyhinge.gateway.fleet.CheckOrder
 import fireflyhinge.gateway.fleet.ControlHandler
+import fireflyhinge.gateway.fleet.CopyExchange
 import fireflyhinge.gateway.fleet.EvidenceBroadcaster
 import fireflyhinge.gateway.fleet.EvidenceStore
 import fireflyhinge.gateway.fleet.FleetUpdates
@@ -57,15 +59,19 @@
     private val fleet = FleetView(record(settings))
     private val table = ReplicaTable()
     private val store = protocols.store(StoreHttpClient(HttpClient(ConnectionPool(io)), settings.store))
-    private val configMirror = StoreMirror(StoreObjectKind.CONFIGURATION, store, io.scope, ::applyConfig)
-    private val replicaMirror = StoreMirror(StoreObjectKind.REPLICAS, store, io.scope, ::applyReplicas)
+    private val checks = CheckOrder(fleet, domains)
+    private val configMirror =
+        StoreMirror(StoreObjectKind.CONFIGURATION, store, io.scope, checks::isFirst, ::applyConfig)
+    private val replicaMirror = StoreMirror(StoreObjectKind.REPLICAS, store, io.scope, checks::isFirst, ::applyReplicas)
     private val evidence = CrashEvidence()
     private val evidenceStore = EvidenceStore(evidence, fleet, store)
-    private val evidenceMirror = StoreMirror(StoreObjectKind.CRASHES, store, io.scope, evidenceStore::read)
+    private val evidenceMirror =
+        StoreMirror(StoreObjectKind.CRASHES, store, io.scope, checks::isFirst, evidenceStore::read)
     private val mirrors = listOf(configMirror, replicaMirror, evidenceMirror)
     private val peers = PeerClient(HttpClient(ConnectionPool(io, defaultIdleLimitMillis = PEER_IDLE_MILLIS)))
     private val updates = FleetUpdates(fleet, table, ::ready)
-    private val gossip = Gossip(domains, peers, mirrors, { this.settings.seeds }, updates, evidence)
+    private val copies = CopyExchange(mirrors, peers)
+    private val gossip = Gossip(domains, peers, copies, { this.settings.seeds }, updates, evidence)
     private val evidenceBroadcaster = EvidenceBroadcaster(evidence, fleet, peers, io.scope)
     private val guard = CrashGuard(evidence, registry)
     private val shares = QuotaShares(settings.quota, ::quotaShare, settings.firstStart)
@@ -108,7 +114,11 @@
         )
     private val front = HttpListener(io, settings.front, { config?.limits ?: CallerLimits() }, forwarder)
     private val control =
-        HttpListener(io, settings.control, handler = ControlHandler(gossip, mirrors, shares, evidence) { config })
+        HttpListener(
+            io,
+            settings.control,
+            handler = ControlHandler(gossip, mirrors, copies, shares, evidence) { config },
+        )
     private val discovery =
         DiscoveryHandler(
             protocols.discovery,
@@ -133,7 +143,7 @@
         io.scope.launch { evidenceBroadcaster.run() }
         io.scope.launch { evidenceStore.run() }
         io.scope.launch { guard.applyVerdicts() }
-        io.scope.launch { LoadBroadcaster(io.scope, updates, domains, peers, table).run() }
+        io.scope.launch { LoadBroadcaster(io.scope, updates, domains, peers, table, copies).run() }
         log.atInfo().addKeyValue("vm", settings.vm).addKeyValue("front", settings.front).log("started")
     }
 
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CheckedWatch.kt
@@ -0,0 +1,58 @@
+package fireflyhinge.gateway.fleet
+
+import fireflyhinge.forward.CopyFreshness
+import fireflyhinge.forward.StoreObjectKind
+import fireflyhinge.forward.StoreReadResult
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.selects.select
+
+/**
+ * Watches the store's objects of [kind] and checks beside it whether the store still responds: a watch that waits does
+ * not distinguish a store without news from a dead connection.
+ *
+ * @param checksFirst whether this VM is the one that checks for the others.
+ */
+internal class CheckedWatch(
+    private val kind: StoreObjectKind,
+    private val store: PlatformStore,
+    private val freshness: CopyFreshness,
+    private val checksFirst: (StoreObjectKind) -> Boolean,
+) {
+    /**
+     * Waits for changes after [revision]. Returns the first response with a change or the first failure, of the watch
+     * or of a check, or the response without a change that ends the watch.
+     */
+    suspend fun await(revision: Long): StoreReadResult =
+        coroutineScope {
+            val reads = listOf(async { store.watch(kind, revision, WATCH_MILLIS) }, async { check(revision) })
+            select { reads.forEach { read -> read.onAwait { it } } }.also { reads.forEach { it.cancel() } }
+        }
+
+    /** Asks the store for changes whenever neither it nor another VM has confirmed the copy for a while. */
+    private suspend fun check(revision: Long): StoreReadResult {
+        while (true) {
+            awaitDue()
+            val answer = store.watch(kind, revision, CHECK_MILLIS)
+            if (answer !is StoreReadResult.Changes || !answer.isEmpty()) return answer
+            freshness.confirm()
+        }
+    }
+
+    private suspend fun awaitDue() {
+        while (true) {
+            val wait = freshness.millisToCheck(checksFirst(kind))
+            if (wait == 0L) return
+            delay(wait)
+        }
+    }
+
+    private companion object {
+        /** Long, since each watch is one priced call. */
+        const val WATCH_MILLIS = 25_000L
+
+        /** A check returns at once. */
+        const val CHECK_MILLIS = 1L
+    }
+}
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/ControlHandler.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/ControlHandler.kt
@@ -15,6 +15,7 @@
 internal class ControlHandler(
     private val gossip: Gossip,
     private val mirrors: List<StoreMirror>,
+    private val copies: CopyExchange,
     private val quota: QuotaShares,
     private val evidence: CrashEvidence,
     private val config: () -> ForwardConfig?,
@@ -38,7 +39,10 @@
         when {
             request.uri == Gossip.EXCHANGE_PATH ->
                 PeerMessages.encode(gossip.received(PeerMessages.exchange(request.body)))
-            request.uri == LoadBroadcaster.PATH -> EMPTY.also { gossip.received(PeerMessages.exchange(request.body)) }
+            request.uri == LoadBroadcaster.PATH -> {
+                gossip.received(PeerMessages.exchange(request.body))
+                PeerMessages.encode(PeerStateMessage(emptyList(), copies.versions()))
+            }
             request.uri == PeerQuotaBorrower.PATH -> lend(request.body)
             request.uri == PeerQuotaBorrower.REPAY_PATH -> EMPTY.also { acceptRepayment(request.body) }
             request.uri == EvidenceBroadcaster.PATH -> EMPTY.also { evidence.merge(EvidenceCodec.decode(request.body)) }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
@@ -3,6 +3,7 @@
 import fireflyhinge.forward.CrashEvidence
 import fireflyhinge.forward.FailureDomains
 import fireflyhinge.gateway.http.ConnectFailedException
+import fireflyhinge.gateway.http.monotonicMillis
 import fireflyhinge.gateway.repeatForever
 import fireflyhinge.gateway.runLogged
 import kotlinx.coroutines.coroutineScope
@@ -16,7 +17,7 @@
 internal class Gossip(
     private val domains: FailureDomains,
     private val peers: PeerClient,
-    private val mirrors: List<StoreMirror>,
+    private val copies: CopyExchange,
     private val seeds: () -> List<String>,
     private val updates: FleetUpdates,
     private val evidence: CrashEvidence,
@@ -82,9 +83,11 @@
 
     private suspend fun exchange(address: String) {
         try {
+            val calledAt = monotonicMillis()
             val answer = PeerMessages.exchange(peers.post(address, EXCHANGE_PATH, PeerMessages.encode(localState())))
             answered++
-            applyAnswer(answer, address)
+            merge(answer)
+            copies.compare(answer.copies, address, calledAt)
         } catch (e: ConnectFailedException) {
             if (e.refused) fleet.all().find { it.control == address }?.let { fleet.connectionRefused(it.name) }
             log.debug("gossip exchange with {} failed: {}", address, e.message)
@@ -95,22 +98,17 @@
 
     /** The state that this VM sends to others. */
     fun localState() =
-        PeerStateMessage(fleet.all(), mirrors.associate { it.kind to it.revision }, evidence.recent())
+        PeerStateMessage(fleet.all(), copies.versions(), evidence.recent())
 
     /** Applies the state [theirs] of another VM and returns this VM's own. */
     fun received(theirs: PeerStateMessage): PeerStateMessage {
-        updates.merge(theirs.vms)
-        evidence.merge(theirs.evidence)
+        merge(theirs)
         return localState()
     }
 
-    private suspend fun applyAnswer(theirs: PeerStateMessage, address: String) {
+    private fun merge(theirs: PeerStateMessage) {
         updates.merge(theirs.vms)
         evidence.merge(theirs.evidence)
-        for (mirror in mirrors) {
-            if (!mirror.outdated(theirs.revisions[mirror.kind] ?: 0)) continue
-            mirror.adopt(PeerMessages.listing(peers.get(address, FEED_PATH + mirror.kind.name)), address)
-        }
     }
 
     companion object {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerMessages.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerMessages.kt
@@ -6,7 +6,6 @@
 import fireflyhinge.doubleIn
 import fireflyhinge.forward.HostPort
 import fireflyhinge.forward.StoreItem
-import fireflyhinge.forward.StoreObjectKind
 import fireflyhinge.forward.StoreReadResult
 import fireflyhinge.forward.VmRecord
 import fireflyhinge.gateway.DeduplicatingLogger
@@ -27,8 +26,7 @@
         val root = mapper.createObjectNode()
         val list = root.putArray("vms")
         exchange.vms.forEach { list.add(encode(it)) }
-        val revisions = root.putObject("revisions")
-        exchange.revisions.forEach { (kind, revision) -> revisions.put(kind.name, revision) }
+        CopyVersionCodec.encode(exchange.copies, root)
         if (!exchange.evidence.empty) root.set<ObjectNode>("evidence", EvidenceCodec.encode(exchange.evidence))
         return mapper.writeValueAsBytes(root)
     }
@@ -36,12 +34,7 @@
     fun exchange(bytes: ByteArray): PeerStateMessage {
         val root = mapper.readTree(bytes)
         val vms = root.path("vms").mapNotNull(::vm)
-        val revisions = root.path("revisions")
-        return PeerStateMessage(
-            vms,
-            StoreObjectKind.entries.associateWith { revisions.path(it.name).longIn(NON_NEGATIVE) ?: 0 },
-            EvidenceCodec.decode(root.path("evidence")),
-        )
+        return PeerStateMessage(vms, CopyVersionCodec.decode(root), EvidenceCodec.decode(root.path("evidence")))
     }
 
     fun encode(listing: StoreReadResult.Listing): ByteArray {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
@@ -1,5 +1,7 @@
 package fireflyhinge.gateway.fleet
 
+import fireflyhinge.forward.CopyFreshness
+import fireflyhinge.forward.CopyVersion
 import fireflyhinge.forward.StoreObjectCache
 import fireflyhinge.forward.StoreObjectKind
 import fireflyhinge.forward.StoreOutage
@@ -19,12 +21,14 @@
  * Maintains this VM's copy of the store's objects of one kind: through a watch on the store or, while the store does
  * not serve this VM, from another VM that has a newer copy.
  *
+ * @param checksFirst whether this VM is the one that checks the store for the others.
  * @param onChange called after each change of the copy.
  */
 internal class StoreMirror(
     val kind: StoreObjectKind,
     private val store: PlatformStore,
     private val scope: CoroutineScope,
+    checksFirst: (StoreObjectKind) -> Boolean = { true },
     private val onChange: (StoreObjectCache) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger(javaClass)
@@ -33,6 +37,8 @@
     val state = StoreObjectCache()
 
     private val outage = StoreOutage(RECOVERY_MILLIS)
+    private val freshness = CopyFreshness()
+    private val watch = CheckedWatch(kind, store, freshness, checksFirst)
 
     /** If larger than [revision]: a revision of another VM's copy that this copy has yet to reach. */
     private var newerRevision = 0L
@@ -43,17 +49,25 @@
     /** Revision of the copy. */
     val revision: Long get() = state.revision
 
+    /** State of the copy, for other VMs. */
+    val version: CopyVersion get() = CopyVersion(state.revision, state.digest, freshness.ageMillis)
+
     /** Watches the store until cancelled. */
     suspend fun run(): Nothing = repeatForever(log, "following $kind") { read() }
 
     private suspend fun read() {
-        // A watch that blocks does not show whether the store serves this VM again, so it is short after an outage.
-        val wait = if (outage.failures > 0) RECOVERY_WATCH_MILLIS else WATCH_MILLIS
-        val answer = if (listed) store.watch(kind, state.revision, wait) else store.list(kind)
+        val answer =
+            when {
+                !listed -> store.list(kind)
+                // A watch that blocks does not show whether the store serves this VM again.
+                outage.failures > 0 -> store.watch(kind, state.revision, RECOVERY_WATCH_MILLIS)
+                else -> watch.await(state.revision)
+            }
         if (answer !is StoreReadResult.Unavailable) recordRecovery()
         when (answer) {
             is StoreReadResult.Listing -> {
                 listed = true
+                freshness.confirm()
                 if (state.replace(answer.items, answer.revision, outage.retentionMillis())) changed("store list")
             }
             is StoreReadResult.Changes -> applyChanges(answer)
@@ -66,7 +80,8 @@
     }
 
     private suspend fun applyChanges(answer: StoreReadResult.Changes) {
-        if (answer.changed.isEmpty() && answer.removed.isEmpty()) return
+        freshness.confirm()
+        if (answer.isEmpty()) return
         val keep = if (answer.removed.size >= MASS_REMOVAL) RECOVERY_MILLIS else outage.retentionMillis()
         if (state.apply(answer, keep)) changed("store watch")
         // Changes come in bursts; after a pause, the next watch returns several at once.
@@ -119,13 +134,20 @@
     }
 
     /**
-     * Returns whether the copy of another VM, which has revision [theirs], should be fetched: it is newer, and either
-     * the store does not serve this VM or the watch has not caught up for a while, as on a dead connection.
+     * Compares this copy with that of another VM, whose version was [theirs] at most [callMillis] ago. If they are
+     * equal, a confirmation of the other one holds for this one.
+     *
+     * Returns whether the other copy should be fetched: it is newer, and either the store does not serve this VM or the
+     * change has not come from it for a while.
      */
-    fun outdated(theirs: Long): Boolean {
-        if (theirs <= state.revision) return false
+    fun compare(theirs: CopyVersion, callMillis: Long = 0): Boolean {
+        if (state.digest.isNotEmpty() && theirs.digest == state.digest) {
+            theirs.ageMillis?.let { freshness.confirm(it + callMillis) }
+            return false
+        }
+        if (theirs.revision <= state.revision) return false
         if (newerRevision <= state.revision) {
-            newerRevision = theirs
+            newerRevision = theirs.revision
             newerSince = monotonicMillis()
         }
         return outage.failures > 0 || state.revision == 0L || monotonicMillis() - newerSince > WATCH_LAG_MILLIS
@@ -144,9 +166,6 @@
         /** This many entries removed at once suggest a fault of the store, not of the replicas. */
         const val MASS_REMOVAL = 3
 
-        /** Long, since each watch is one priced call; keep-alive probes detect a dead connection. */
-        const val WATCH_MILLIS = 25_000L
-
         /** Short, since the first watch that returns after an outage shows that the store is back. */
         const val RECOVERY_WATCH_MILLIS = 100L
 
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
@@ -1,5 +1,6 @@
 package fireflyhinge.gateway.fleet
 
+import fireflyhinge.forward.CopyVersion
 import fireflyhinge.forward.CrashEvidence
 import fireflyhinge.forward.CrashSighting
 import fireflyhinge.forward.EvidenceReport
@@ -94,13 +95,25 @@
         assertEquals(CrashEvidence.MAX_REPORTED, decoded.traits.size)
     }
 
+    /** Guards against a copy that is taken as current for ever because of one message. */
+    @Test
+    fun anOddAgeConfirmsNothing() {
+        val ages = listOf("-1", "9223372036854775807", "1e400", "\"5\"", "null", "{}")
+        val messages = ages.map { """{"confirmed":{"REPLICAS":{"digest":"a1","age_ms":$it}}}""" }
+        val read = messages.map { PeerMessages.exchange(it.toByteArray()).copies[StoreObjectKind.REPLICAS] }
+        assertEquals(ages.map { CopyVersion(0, "a1") }, read)
+    }
+
     /** Guards against a rename that reaches the messages between VMs of two versions. */
     @Test
     fun theNamesInMessagesStay() {
         val vms =
             """{"name":"vm-1","front":"10.1.0.3:80","control":"10.1.0.3:81","failure_domain":"north",""" +
                 """"started_at":5,"beat":7,"ready":true,"tokens":{"r1":9}}"""
-        val exchange = PeerStateMessage(listOf(vm), StoreObjectKind.entries.associateWith { it.ordinal.toLong() })
+        val copies = StoreObjectKind.entries.associateWith { CopyVersion(it.ordinal.toLong()) }
+        val exchange = PeerStateMessage(listOf(vm), copies)
+        val confirming =
+            exchange.copy(copies = copies + (StoreObjectKind.VMS to CopyVersion(2, digest = "a1", ageMillis = 9)))
         val listing = StoreReadResult.Listing(listOf(StoreItem("a", 3, "{}")), 4)
         val told =
             """{"traits":[{"trait":"p/a1/m","sound_age":7,""" +
@@ -112,13 +125,16 @@
                 PeerMessages.encode(exchange.copy(evidence = evidence)) to
                     """{"vms":[$vms],"revisions":{"CONFIGURATION":0,"REPLICAS":1,"VMS":2,"CRASHES":3},""" +
                     """"evidence":$told}""",
+                PeerMessages.encode(confirming) to
+                    """{"vms":[$vms],"revisions":{"CONFIGURATION":0,"REPLICAS":1,"VMS":2,"CRASHES":3},""" +
+                    """"confirmed":{"VMS":{"digest":"a1","age_ms":9}}}""",
                 EvidenceCodec.encode(evidence).toString().toByteArray() to told,
                 PeerMessages.encode(listing) to
                     """{"revision":4,"items":[{"name":"a","revision":3,"body":"{}"}]}""",
                 PeerMessages.encodeLoan("w", 2.5) to """{"workspace":"w","tokens":2.5}""",
             )
         assertEquals(cases.values.toList(), cases.keys.map { it.decodeToString() })
-        listOf(exchange, exchange.copy(evidence = evidence)).forEach {
+        listOf(exchange, exchange.copy(evidence = evidence), confirming).forEach {
             assertEquals(it, PeerMessages.exchange(PeerMessages.encode(it)))
         }
         val paths =
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/StoreMirrorTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/StoreMirrorTest.kt
@@ -1,5 +1,6 @@
 package fireflyhinge.gateway.fleet
 
+import fireflyhinge.forward.CopyVersion
 import fireflyhinge.forward.StoreItem
 import fireflyhinge.forward.StoreObjectKind
 import fireflyhinge.forward.StoreReadResult
@@ -9,6 +10,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -49,9 +51,11 @@
         override suspend fun remove(kind: StoreObjectKind, name: String) = true
     }
 
-    private fun follow(vararg answers: StoreReadResult): StoreMirror {
+    private fun follow(vararg answers: StoreReadResult): StoreMirror = follow(ScriptedStore(*answers))
+
+    private fun follow(store: PlatformStore): StoreMirror {
         val mirror =
-            StoreMirror(StoreObjectKind.REPLICAS, ScriptedStore(*answers), scope) {
+            StoreMirror(StoreObjectKind.REPLICAS, store, scope) {
                 copies.add(monotonicMillis() to it.items().keys)
             }
         scope.launch { mirror.run() }
@@ -117,13 +121,45 @@
         copy()
         val end = monotonicMillis() + APPLY_MILLIS
         val found =
-            generateSequence { mirror.outdated(1) || mirror.outdated(5) }
+            generateSequence { mirror.compare(CopyVersion(1)) || mirror.compare(CopyVersion(5)) }
                 .onEach { Thread.sleep(EXCHANGE_MILLIS) }
                 .takeWhile { monotonicMillis() < end }
                 .any { it }
         assertTrue(found) { "no newer copy is fetched within $APPLY_MILLIS ms" }
     }
 
+    /** Guards against a change that is missed because a dead watch looks like one without news. */
+    @Test
+    fun aChangeIsFoundAlthoughTheWatchIsDead() {
+        val store =
+            object : PlatformStore by ScriptedStore(listing(1, "a")) {
+                override suspend fun watch(kind: StoreObjectKind, revision: Long, waitMillis: Long): StoreReadResult {
+                    delay(waitMillis)
+                    return changes(2, "a")
+                }
+            }
+        follow(store)
+        assertEquals(setOf("a"), copy().second)
+        val changed = copies.poll(APPLY_MILLIS, TimeUnit.MILLISECONDS)
+        assertEquals(emptySet<String>(), changed?.second) { "not found within $APPLY_MILLIS ms" }
+    }
+
+    /** Guards against store calls of each VM where one is enough, and against a copy that an older one confirms. */
+    @Test
+    fun onlyAnEqualCopyOfAnotherVmConfirmsThisOne() {
+        for ((digest, checked) in listOf(null to false, "other" to true)) {
+            waits.clear()
+            val mirror = follow(listing(1, "a"))
+            copy()
+            val end = monotonicMillis() + APPLY_MILLIS
+            while (monotonicMillis() < end) {
+                mirror.compare(CopyVersion(9, digest ?: mirror.version.digest, ageMillis = 0), callMillis = 50)
+                Thread.sleep(EXCHANGE_MILLIS)
+            }
+            assertEquals(checked, waits.size > 1) { "$waits" }
+        }
+    }
+
     private companion object {
         /** Time within which changes must take effect (the platform's `configApplyMs`). */
         const val APPLY_MILLIS = 3_000L
