End a silent run only once another replica has taken the request

Cause: DecodeSession ended a run after 1.5 s of silence as soon as another replica had a place and the prompt; what that replica says to the request itself was not awaited. If it refused, failed or broke off, both attempts of the route were used up. Ruled out: a longer limit. It moves the loss to longer pauses and costs callers of dead replicas.

Change: the request is sent to the prepared replica while the first run stays open (DecodeSession.open). The first run ends when the head of a stream arrives there; if the first replica goes on before that, the second run is closed (LivenessWatch). A refusal, a failure or silence of the second replica ends nothing. Moved without a change: attempts and their accounting (DecodeAttempts, DecodeAccounting).

Passed too: UnresponsiveReplicaTest, StreamResumeTest, ModelCallTest, HedgedRequestTest, TricklingStreamTest, CrashVerdictTest, ResponseOrderTest.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeOutcome.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeOutcome.kt
@@ -16,6 +16,11 @@
     /** Nothing was sent. */
     data class NotSent(val reason: String) : DecodeOutcome
 
+    /** The run was ended, since the first replica resumed before this one responded. */
+    data object Abandoned : DecodeOutcome {
+        override fun toString() = "abandoned"
+    }
+
     /** The stream failed, or the replica became unresponsive. */
     data class Interrupted(val reason: String) : DecodeOutcome
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
@@ -7,78 +7,77 @@
 import fireflyhinge.gateway.http.ConnectFailedException
 import fireflyhinge.gateway.http.OutboundConnection
 import fireflyhinge.gateway.http.ResponseWriter
-import fireflyhinge.gateway.http.monotonicMillis
-import fireflyhinge.gateway.runLogged
 import io.netty.handler.codec.http.HttpResponse
-import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
-import org.slf4j.LoggerFactory
 import java.io.IOException
 
 /**
  * One run of a model request at a decode replica. Used by one coroutine, once.
  *
- * @param failover where the request continues if the replica becomes unresponsive; null if this run is the last one.
- * A healthy replica may pause, so a pause alone ends no run.
+ * @param watch fails the run over to another replica if this one becomes unresponsive.
  */
 internal class DecodeSession(
     private val sender: ReplicaSender,
     private val context: RequestContext,
     private val order: EventSequence,
     private val response: ResponseWriter,
-    private val failover: FailoverTarget?,
+    private val watch: LivenessWatch,
     private val crashes: CrashDetector,
 ) {
     private val progress = RunProgress { crashes.recordSound(context, it) }
-    private var lastEventMillis = monotonicMillis()
-    private var waiting = true
-    private var failedOver = false
+    private var opened: ReplicaExchange? = null
+    private var openedHead: HttpResponse? = null
 
-    /** Sends the request to [state]'s replica and forwards the events. */
-    suspend fun run(state: ReplicaState, call: ReplicaRequestOptions): DecodeOutcome =
-        try {
-            sender.use(state, context.request, context.metadata.expectedKvTokens) { connection ->
-                withLivenessWatch(connection) {
-                    val head = sender.begin(state, connection, context.request, call)
-                    read(state, connection, head)
+    /** Sends the request to [state]'s replica, unless [open] has done so, and forwards the events. */
+    suspend fun run(state: ReplicaState, call: ReplicaRequestOptions): DecodeOutcome {
+        val outcome =
+            exchange(state) { exchange ->
+                exchange.use { connection ->
+                    watch.during(connection) {
+                        val head = openedHead ?: sender.begin(state, connection, context.request, call)
+                        read(state, connection, head)
+                    }
                 }
             }
-        } catch (e: ConnectFailedException) {
-            DecodeOutcome.NotSent(e.message.orEmpty())
-        } catch (e: IOException) {
-            if (!failedOver) crashes.record(state, BrokenRun(context, progress.settled))
-            DecodeOutcome.Interrupted(e.message.orEmpty())
-        }
+        return checkNotNull(outcome)
+    }
 
-    private suspend fun <T> withLivenessWatch(connection: OutboundConnection, block: suspend () -> T): T {
-        if (failover == null) return block()
-        return coroutineScope {
-            val watch = launch { watch(connection, failover) }
+    /**
+     * Sends the request to [state]'s replica and awaits the head of the response. Returns null if it begins a stream,
+     * which [run] then forwards, and otherwise the outcome of this run.
+     */
+    suspend fun open(state: ReplicaState, call: ReplicaRequestOptions): DecodeOutcome? =
+        exchange(state) { exchange ->
             try {
-                block()
+                val head = sender.begin(state, exchange.connection, context.request, call)
+                if (head.status().code() == OK) {
+                    opened = exchange
+                    openedHead = head
+                    null
+                } else {
+                    exchange.use { read(state, it, head) }
+                }
             } finally {
-                watch.cancel()
-                if (!failedOver) failover.discard()
+                if (opened == null) exchange.close()
             }
         }
-    }
 
-    private suspend fun watch(connection: OutboundConnection, failover: FailoverTarget) {
-        while (!failedOver) {
-            delay(LIVENESS_CHECK_MILLIS)
-            if (!unresponsive()) continue
-            val ready = runLogged(log, "preparing another replica") { failover.prepare() } ?: false
-            // Meanwhile the replica may have resumed, and may have sent events after which no other run can continue.
-            failedOver = ready && unresponsive() && order.allNumbered
-            if (ready && !failedOver) failover.discard()
-            if (!ready) delay(PREPARE_RETRY_MILLIS)
-        }
-        connection.close()
+    /** Ends the run that [open] began. */
+    fun close() {
+        opened?.close()
     }
 
-    private fun unresponsive() =
-        waiting && monotonicMillis() - lastEventMillis >= ReplicaTimeouts.HEALTHY_PAUSE_MILLIS
+    private suspend fun exchange(
+        state: ReplicaState,
+        block: suspend (ReplicaExchange) -> DecodeOutcome?,
+    ): DecodeOutcome? =
+        try {
+            block(opened ?: sender.connect(state, context.request, context.metadata.expectedKvTokens))
+        } catch (e: ConnectFailedException) {
+            DecodeOutcome.NotSent(e.message.orEmpty())
+        } catch (e: IOException) {
+            if (!watch.failedOver) crashes.record(state, BrokenRun(context, progress.settled))
+            DecodeOutcome.Interrupted(e.message.orEmpty())
+        }
 
     private suspend fun read(
         state: ReplicaState,
@@ -97,9 +96,9 @@
         val events = EventSplitter()
         order.startRun()
         while (true) {
-            waiting = true
+            watch.setWaiting(true)
             val bytes = connection.readChunk() ?: return end(events)
-            waiting = false
+            watch.setWaiting(false)
             val complete = events.add(bytes)
             complete.forEach { event ->
                 if (order.hasGapBefore(event)) return interrupted("an event is missing")
@@ -108,7 +107,7 @@
             }
             // Other bytes are no progress for the caller: a stalled replica may send some now and then.
             if (complete.any { !it.comment }) {
-                lastEventMillis = monotonicMillis()
+                watch.recordEvent()
                 progress.recordOutput()
             }
             if (events.oversized) return interrupted("an event without end")
@@ -134,13 +133,6 @@
     private fun interrupted(reason: String) = ReadResult.Incomplete(DecodeOutcome.Interrupted(reason))
 
     private companion object {
-        val log = LoggerFactory.getLogger(DecodeSession::class.java)
         const val OK = 200
-
-        /** Interval at which an unresponsive replica is detected; short compared with the limit. */
-        const val LIVENESS_CHECK_MILLIS = 100L
-
-        /** Pause between two attempts to prepare a failover: slots become free several times a second. */
-        const val PREPARE_RETRY_MILLIS = 200L
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
@@ -102,19 +102,18 @@
         request: CallerRequest,
         tokens: Int,
         block: suspend (OutboundConnection) -> ReadResult<T>,
-    ): T {
+    ): T = connect(state, request, tokens).use(block)
+
+    /** Returns a connection to the replica on which [request] has not been sent before. */
+    suspend fun connect(state: ReplicaState, request: CallerRequest, tokens: Int): ReplicaExchange {
         state.requestStarted(tokens)
-        var connection: OutboundConnection? = null
-        var complete = false
+        var exchange: ReplicaExchange? = null
         try {
             val id = protocol.requestId(request.headers)
-            connection = pool.acquire(state.replica.address, id, request.sentOn).also { request.sentOn += it }
-            val result = block(connection)
-            complete = result is ReadResult.Complete
-            return result.value
+            val connection = pool.acquire(state.replica.address, id, request.sentOn).also { request.sentOn += it }
+            return ReplicaExchange(pool, state, tokens, connection).also { exchange = it }
         } finally {
-            state.requestEnded(tokens)
-            connection?.let { if (complete) pool.release(it) else it.close() }
+            if (exchange == null) state.requestEnded(tokens)
         }
     }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -1,14 +1,10 @@
 package fireflyhinge.gateway.forward
 
-import fireflyhinge.forward.EventSequence
 import fireflyhinge.forward.KvCacheLocation
 import fireflyhinge.forward.ReplicaStage
 import fireflyhinge.forward.ReplicaState
 import fireflyhinge.gateway.http.ResponseWriter
 import fireflyhinge.gateway.http.monotonicMillis
-import fireflyhinge.result.Outcome
-import fireflyhinge.result.ResultCode
-import kotlin.random.Random
 
 /** Forwards model requests: a prefill replica reads the prompt, a decode replica generates the response. */
 internal class StreamForwarder(
@@ -17,45 +13,13 @@
     private val reservations: ReservationClient,
     private val crashes: CrashDetector,
 ) {
-    private class Attempts(lastEvent: Long?) {
-        val order = EventSequence(lastEvent)
-        val excluded = HashSet<String>()
-
-        /** Runs sent to decode replicas. */
-        var sends = 0
-
-        /** Whether a run reached a process, if only one that refused it for another replica. */
-        var arrived = false
-
-        /** Prefills started. */
-        var prefillCount = 0
-
-        /** Attempts that did not reach the decode replica: no prefill, no connection, or another replica's address. */
-        var undelivered = 0
-
-        /** Failover that was prepared while the current replica was unresponsive. */
-        var failover: PreparedFailover? = null
-        var lastFailure = capacityExhausted()
-
-        /**
-         * Whether another attempt is permitted: limits and deadline are not reached, and the request has certainly not
-         * run or its stream can be resumed.
-         */
-        fun mayAttempt(context: RequestContext): Boolean {
-            val route = context.admission.route
-            val allowed = sends < route.maxAttempts && undelivered < MAX_UNDELIVERED
-            val repeatable = (route.resumable && order.allNumbered) || !context.mayHaveRun
-            return allowed && context.remainingMillis > 0 && !context.barred && repeatable
-        }
-    }
-
     private val prefillDispatcher = PrefillDispatcher(routing, sender, crashes)
     private val slots = SlotReserver(routing, reservations)
 
     /** Prefills, decodes, and forwards the events to [response]. A resumable stream that breaks continues elsewhere. */
     suspend fun run(context: RequestContext, response: ResponseWriter): ForwardResult {
         routing.retries.recordRequest(context.service)
-        val attempts = Attempts(context.metadata.lastEvent)
+        val attempts = DecodeAttempts(context.metadata.lastEvent)
         val route = context.admission.route
         val slotDeadlineMillis = context.request.arrivedMillis + route.objectiveMillis * SLOT_WAIT_PERCENT / PERCENT
         try {
@@ -78,7 +42,7 @@
 
     private suspend fun next(
         context: RequestContext,
-        attempts: Attempts,
+        attempts: DecodeAttempts,
         slotDeadlineMillis: Long,
         response: ResponseWriter,
     ): DecodeTarget? {
@@ -95,15 +59,16 @@
 
     /**
      * Prepares another replica for a request whose replica is unresponsive: the slot, the KV cache and a retry from the
-     * budget. The current run is ended only when all of these are available.
+     * budget. The current run is ended only when the other replica has taken the request.
      */
     private inner class Failover(
         private val context: RequestContext,
-        private val attempts: Attempts,
+        private val attempts: DecodeAttempts,
         private val response: ResponseWriter,
     ) : FailoverTarget {
         override suspend fun prepare(): Boolean {
             if (context.barred || !attempts.order.allNumbered) return false
+            if (!attempts.mayResume(context, running = 1)) return false
             if (!routing.retries.tryAcquire(context.service)) return false
             try {
                 // untilMillis = 0 means not to wait for a slot.
@@ -115,36 +80,71 @@
             return attempts.failover != null
         }
 
-        private suspend fun prefill(target: DecodeTarget): PreparedFailover? {
-            var prepared: PreparedFailover? = null
+        private suspend fun prefill(target: DecodeTarget): PreparedRun? {
+            var prepared: PreparedRun? = null
             try {
                 val retry = attempts.prefillCount++ > 0
                 val prefill = prefillDispatcher.run(context, target.state.replica.failureDomain, retry)
                 val cache = (prefill as? PrefillResult.Completed)?.cache
                 val usable = cache != null || mayPrefillLocally(context, target.state, prefill)
-                if (usable) prepared = PreparedFailover(target, cache)
+                if (usable) prepared = PreparedRun(target, cache)
                 return prepared
             } finally {
                 if (prepared == null) releaseReservation(target)
             }
         }
 
+        override suspend fun start(): Boolean {
+            val prepared = attempts.failover ?: return false
+            val state = prepared.target.state
+            val result = send(prepared)
+            val expired = result is DecodeStepResult.CacheUnavailable && routing.table.usable(state)
+            if (!expired || !routing.retries.tryAcquire(context.service)) return result == null
+            // The KV cache has probably expired: prefill again for the same replica.
+            discard()
+            val again = prefill(DecodeTarget(state, reservation = null))
+            attempts.failover = again
+            if (again == null) routing.retries.release(context.service)
+            return again != null && send(again) == null
+        }
+
+        /** Sends the request; returns null if the replica has taken it, and otherwise what its refusal means. */
+        private suspend fun send(prepared: PreparedRun): DecodeStepResult? {
+            val state = prepared.target.state
+            val accounting = DecodeAccounting(context, attempts, response)
+            if (accounting.obstacle(state) != null) return DecodeStepResult.NotRun
+            attempts.excluded += state.replica.id
+            val session = session(context, attempts, response, running = 2)
+            prepared.sent = true
+            context.recordSend()
+            var outcome: DecodeOutcome? = DecodeOutcome.Abandoned
+            try {
+                outcome = session.open(state, options(context, attempts, prepared.target, prepared.cache))
+            } finally {
+                if (outcome == DecodeOutcome.Abandoned) accounting.settle(state, DecodeOutcome.Abandoned)
+            }
+            if (outcome != null) return accounting.settle(state, outcome, withCache = prepared.cache != null)
+            prepared.session = session
+            return null
+        }
+
         override fun discard() = discard(context, attempts)
     }
 
-    private fun discard(context: RequestContext, attempts: Attempts) {
+    private fun discard(context: RequestContext, attempts: DecodeAttempts) {
         val unused = attempts.failover ?: return
         attempts.failover = null
+        unused.session?.close()
         unused.cache?.let(reservations::release)
         releaseReservation(unused.target)
-        routing.retries.release(context.service)
+        if (!unused.sent) routing.retries.release(context.service)
     }
 
     private suspend fun prefillAndDecode(
         context: RequestContext,
-        attempts: Attempts,
+        attempts: DecodeAttempts,
         target: DecodeTarget,
-        prepared: PreparedFailover?,
+        prepared: PreparedRun?,
         response: ResponseWriter,
     ): DecodeStepResult {
         val result = prefillAndDecodeOnce(context, attempts, target, prepared, response)
@@ -159,9 +159,9 @@
 
     private suspend fun prefillAndDecodeOnce(
         context: RequestContext,
-        attempts: Attempts,
+        attempts: DecodeAttempts,
         target: DecodeTarget,
-        prepared: PreparedFailover?,
+        prepared: PreparedRun?,
         response: ResponseWriter,
     ): DecodeStepResult {
         var cache = prepared?.cache
@@ -173,12 +173,12 @@
                 cache = (prefill as? PrefillResult.Completed)?.cache
                 if (cache == null && !mayPrefillLocally(context, target.state, prefill)) {
                     attempts.undelivered++
-                    attempts.lastFailure = capacityExhausted()
+                    attempts.lastFailure = DecodeAttempts.capacityExhausted()
                     return DecodeStepResult.NotRun
                 }
             }
             reservationUnused = false
-            return decode(context, attempts, target, cache, response)
+            return decode(context, attempts, prepared ?: PreparedRun(target, cache), response)
                 .also { if (it is DecodeStepResult.Finished) cache = null }
         } finally {
             cache?.let(reservations::release)
@@ -199,126 +199,64 @@
 
     private suspend fun decode(
         context: RequestContext,
-        attempts: Attempts,
-        target: DecodeTarget,
-        cache: KvCacheLocation?,
+        attempts: DecodeAttempts,
+        prepared: PreparedRun,
         response: ResponseWriter,
     ): DecodeStepResult {
+        val target = prepared.target
         val state = target.state
-        val id = state.replica.id
-        val obstacle =
-            when {
-                context.barred -> "such requests crash replicas"
-                state.availability.backoffMillis > 0 -> "it asked for a pause"
-                else -> null
-            }
+        val begun = prepared.session
+        val accounting = DecodeAccounting(context, attempts, response)
+        val obstacle = if (begun == null) accounting.obstacle(state) else null
         if (obstacle != null) {
-            context.attemptLog += "decode $id not sent, $obstacle"
+            context.attemptLog += "decode ${state.replica.id} not sent, $obstacle"
             attempts.undelivered++
             return DecodeStepResult.NotRun
         }
-        val call =
-            ReplicaRequestOptions(
-                replicaId = id,
-                workspace = context.admission.workspace?.name,
-                remainingMillis = context.remainingMillis,
-                cache = cache,
-                reservation = target.reservation,
-                lastEvent = attempts.order.lastNumber,
-            )
-        context.recordSend()
-        val mayRetry = context.admission.route.resumable && attempts.sends + 1 < context.admission.route.maxAttempts
-        val failover = if (mayRetry) Failover(context, attempts, response) else null
-        val outcome = DecodeSession(sender, context, attempts.order, response, failover, crashes).run(state, call)
-        context.attemptLog += "decode $id $outcome"
-        if (outcome !is DecodeOutcome.NotSent) attempts.arrived = true
-        return when (outcome) {
-            is DecodeOutcome.Completed -> {
-                state.recordResponse(success = true)
-                DecodeStepResult.Finished(ForwardResult.Streamed)
-            }
-            is DecodeOutcome.OtherResponse -> otherResponse(attempts, state, outcome, mayRetry, response)
-            is DecodeOutcome.NotRun -> notRun(context, attempts, state, outcome, cache != null)
-            is DecodeOutcome.NotSent -> {
-                context.recordNotRun()
-                attempts.undelivered++
-                state.recordNoResponse()
-                attempts.lastFailure =
-                    Outcome.Failure(ResultCode.NO_UPSTREAM, outcome.reason, NO_REPLICA_RETRY_AFTER_MILLIS)
-                DecodeStepResult.NotRun
-            }
-            is DecodeOutcome.Interrupted -> {
-                attempts.sends++
-                state.recordNoResponse()
-                attempts.lastFailure = Outcome.Failure(ResultCode.ATTEMPTS_FAILED, outcome.reason)
-                DecodeStepResult.MayHaveRun
-            }
-        }
+        if (begun == null) context.recordSend()
+        val mayRetry = attempts.mayResume(context, running = 1)
+        val session = begun ?: session(context, attempts, response, running = 1)
+        val outcome = session.run(state, options(context, attempts, target, prepared.cache))
+        return accounting.settle(state, outcome, withCache = prepared.cache != null, mayRetry = mayRetry)
     }
 
-    private fun notRun(
-        context: RequestContext,
-        attempts: Attempts,
-        state: ReplicaState,
-        outcome: DecodeOutcome.NotRun,
-        withCache: Boolean,
-    ): DecodeStepResult {
-        context.recordNotRun()
-        attempts.lastFailure = capacityExhausted()
-        if (outcome.otherReplica) {
-            attempts.undelivered++
-            state.recordNoResponse()
-            return DecodeStepResult.NotRun
-        }
-        attempts.sends++
-        // The response does not distinguish an expired KV cache from a full replica.
-        if (withCache) return DecodeStepResult.CacheUnavailable
-        state.full = true
-        return DecodeStepResult.NotRun
-    }
+    /** Creates the last of [running] concurrent runs. */
+    private fun session(context: RequestContext, attempts: DecodeAttempts, response: ResponseWriter, running: Int) =
+        DecodeSession(
+            sender,
+            context,
+            attempts.order,
+            response,
+            LivenessWatch(
+                attempts.order,
+                if (attempts.mayResume(context, running)) Failover(context, attempts, response) else null,
+            ),
+            crashes,
+        )
 
-    private fun otherResponse(
-        attempts: Attempts,
-        state: ReplicaState,
-        outcome: DecodeOutcome.OtherResponse,
-        mayRetry: Boolean,
-        response: ResponseWriter,
-    ): DecodeStepResult {
-        attempts.sends++
-        val good = outcome.response.status < SERVER_ERROR
-        state.recordResponse(good)
-        // Once the caller has events, only further events may follow.
-        if (!response.started && (good || !mayRetry)) return DecodeStepResult.Finished(outcome.response)
-        attempts.lastFailure = Outcome.Failure(ResultCode.UPSTREAM_FAILED, outcome.toString())
-        return DecodeStepResult.MayHaveRun
-    }
+    private fun options(
+        context: RequestContext,
+        attempts: DecodeAttempts,
+        target: DecodeTarget,
+        cache: KvCacheLocation?,
+    ) = ReplicaRequestOptions(
+        replicaId = target.state.replica.id,
+        workspace = context.admission.workspace?.name,
+        remainingMillis = context.remainingMillis,
+        cache = cache,
+        reservation = target.reservation,
+        lastEvent = attempts.order.lastNumber,
+    )
 
     private companion object {
-        const val SERVER_ERROR = 500
-
-        /** Undelivered attempts after which the request fails. */
-        const val MAX_UNDELIVERED = 3
-
         /** Load of a decode replica that runs about two requests. */
         const val IDLE_LOAD = 0.25
 
-        /** Retry-After when no replica is reachable: until a failed replica is tried again. */
-        const val NO_REPLICA_RETRY_AFTER_MILLIS = 500L
-
-        /** Minimum Retry-After when all replicas are full: until running responses have ended. */
-        const val MIN_FULL_RETRY_AFTER_MILLIS = 2_250L
-
         /** Callers disconnect after 2 s without an event; another prefill takes about 0.3 s of that. */
         const val RESUME_SLOT_WAIT_MILLIS = 1_200L
 
         /** Part of the latency objective that a request waits for a slot; the rest is enough for the prefill. */
         const val SLOT_WAIT_PERCENT = 80
         const val PERCENT = 100
-
-        /** The retry delay is random, to spread the callers' retries. */
-        fun capacityExhausted() = Outcome.Failure(
-            ResultCode.CAPACITY_EXHAUSTED,
-            retryAfterMillis = Random.nextLong(MIN_FULL_RETRY_AFTER_MILLIS, 2 * MIN_FULL_RETRY_AFTER_MILLIS),
-        )
     }
 }
