Ask the VM that checks the store before asking the store

Change: one VM of the fleet, or of each region above 24 VMs, checks all kinds; the others ask it (GET /peer/v1/copies) once a copy is 1.4 s old (CopyExchange, CheckerSelector). Answers to load messages no longer carry versions. Since a VM now compares on more occasions, it also takes up the versions in exchanges that others begin, and fetches a newer copy from them: otherwise copies spread slowly from the only VM that the store serves.

--- a/core/src/main/kotlin/fireflyhinge/forward/FleetView.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/FleetView.kt
@@ -53,14 +53,12 @@
     val exchangeIntervalFactor: Double
         @Synchronized get() = (known.size.toDouble() / SMALL_FLEET_VMS).coerceIn(1.0, MAX_INTERVAL_FACTOR)
 
-    /**
-     * Position of this VM among itself and the live ones that are [eligible], in an order that differs by [name]
-     * (rendezvous hashing).
-     */
-    fun rank(name: String, eligible: (VmRecord) -> Boolean = { true }): Int {
-        val names = live().filter(eligible).map { it.name } + self.name
-        return names.sortedBy { "$name/$it".hashCode() * HASH_MULTIPLIER }.indexOf(self.name)
-    }
+    /** Position of this VM among the live ones in an order that differs by [name]. */
+    fun rank(name: String): Int = ordered(name).indexOfFirst { it.name == self.name }
+
+    /** This VM and the live ones that are [eligible], in an order that differs by [name] (rendezvous hashing). */
+    fun ordered(name: String, eligible: (VmRecord) -> Boolean = { true }): List<VmRecord> =
+        (live().filter(eligible) + self).sortedBy { "$name/${it.name}".hashCode() * HASH_MULTIPLIER }
 
     /** Records of all VMs, this one first. */
     @Synchronized
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -14,7 +14,7 @@
 import fireflyhinge.forward.StoreObjectKind
 import fireflyhinge.forward.StoreReadResult
 import fireflyhinge.forward.VmRecord
-import fireflyhinge.gateway.fleet.CheckOrder
+import fireflyhinge.gateway.fleet.CheckerSelector
 import fireflyhinge.gateway.fleet.ControlHandler
 import fireflyhinge.gateway.fleet.CopyExchange
 import fireflyhinge.gateway.fleet.EvidenceBroadcaster
@@ -59,18 +59,18 @@
     private val fleet = FleetView(record(settings))
     private val table = ReplicaTable()
     private val store = protocols.store(StoreHttpClient(HttpClient(ConnectionPool(io)), settings.store))
-    private val checks = CheckOrder(fleet, domains)
+    private val checker = CheckerSelector(fleet, domains)
     private val configMirror =
-        StoreMirror(StoreObjectKind.CONFIGURATION, store, io.scope, checks::isFirst, ::applyConfig)
-    private val replicaMirror = StoreMirror(StoreObjectKind.REPLICAS, store, io.scope, checks::isFirst, ::applyReplicas)
+        StoreMirror(StoreObjectKind.CONFIGURATION, store, io.scope, checker::isSelf, ::applyConfig)
+    private val replicaMirror = StoreMirror(StoreObjectKind.REPLICAS, store, io.scope, checker::isSelf, ::applyReplicas)
     private val evidence = CrashEvidence()
     private val evidenceStore = EvidenceStore(evidence, fleet, store)
     private val evidenceMirror =
-        StoreMirror(StoreObjectKind.CRASHES, store, io.scope, checks::isFirst, evidenceStore::read)
+        StoreMirror(StoreObjectKind.CRASHES, store, io.scope, checker::isSelf, evidenceStore::read)
     private val mirrors = listOf(configMirror, replicaMirror, evidenceMirror)
     private val peers = PeerClient(HttpClient(ConnectionPool(io, defaultIdleLimitMillis = PEER_IDLE_MILLIS)))
     private val updates = FleetUpdates(fleet, table, ::ready)
-    private val copies = CopyExchange(mirrors, peers)
+    private val copies = CopyExchange(mirrors, peers, io.scope, checker::other)
     private val gossip = Gossip(domains, peers, copies, { this.settings.seeds }, updates, evidence)
     private val evidenceBroadcaster = EvidenceBroadcaster(evidence, fleet, peers, io.scope)
     private val guard = CrashGuard(evidence, registry)
@@ -140,10 +140,11 @@
         io.scope.launch { discoverFleet() }
         mirrors.forEach { mirror -> io.scope.launch { mirror.run() } }
         io.scope.launch { gossip.run() }
+        io.scope.launch { copies.run() }
         io.scope.launch { evidenceBroadcaster.run() }
         io.scope.launch { evidenceStore.run() }
         io.scope.launch { guard.applyVerdicts() }
-        io.scope.launch { LoadBroadcaster(io.scope, updates, domains, peers, table, copies).run() }
+        io.scope.launch { LoadBroadcaster(io.scope, updates, domains, peers, table).run() }
         log.atInfo().addKeyValue("vm", settings.vm).addKeyValue("front", settings.front).log("started")
     }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CheckedWatch.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CheckedWatch.kt
@@ -18,7 +18,7 @@
     private val kind: StoreObjectKind,
     private val store: PlatformStore,
     private val freshness: CopyFreshness,
-    private val checksFirst: (StoreObjectKind) -> Boolean,
+    private val checksFirst: () -> Boolean,
 ) {
     /**
      * Waits for changes after [revision]. Returns the first response with a change or the first failure, of the watch
@@ -42,7 +42,7 @@
 
     private suspend fun awaitDue() {
         while (true) {
-            val wait = freshness.millisToCheck(checksFirst(kind))
+            val wait = freshness.millisToCheck(checksFirst())
             if (wait == 0L) return
             delay(wait)
         }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/ControlHandler.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/ControlHandler.kt
@@ -39,10 +39,9 @@
         when {
             request.uri == Gossip.EXCHANGE_PATH ->
                 PeerMessages.encode(gossip.received(PeerMessages.exchange(request.body)))
-            request.uri == LoadBroadcaster.PATH -> {
-                gossip.received(PeerMessages.exchange(request.body))
+            request.uri == LoadBroadcaster.PATH -> EMPTY.also { gossip.received(PeerMessages.exchange(request.body)) }
+            request.uri == CopyExchange.PATH ->
                 PeerMessages.encode(PeerStateMessage(emptyList(), copies.versions()))
-            }
             request.uri == PeerQuotaBorrower.PATH -> lend(request.body)
             request.uri == PeerQuotaBorrower.REPAY_PATH -> EMPTY.also { acceptRepayment(request.body) }
             request.uri == EvidenceBroadcaster.PATH -> EMPTY.also { evidence.merge(EvidenceCodec.decode(request.body)) }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
@@ -103,6 +103,7 @@
     /** Applies the state [theirs] of another VM and returns this VM's own. */
     fun received(theirs: PeerStateMessage): PeerStateMessage {
         merge(theirs)
+        theirs.vms.firstOrNull()?.let { copies.offer(theirs.copies, it.control) }
         return localState()
     }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/LoadBroadcaster.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/LoadBroadcaster.kt
@@ -4,7 +4,6 @@
 import fireflyhinge.forward.ReplicaTable
 import fireflyhinge.forward.VmRecord
 import fireflyhinge.gateway.http.ConnectFailedException
-import fireflyhinge.gateway.http.monotonicMillis
 import fireflyhinge.gateway.repeatForever
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
@@ -14,8 +13,7 @@
 
 /**
  * Notifies nearby VMs at once when requests of this VM begin or end at decode replicas. Gossip is too slow for that: in
- * a burst, VMs that do not know of each other's requests would fill a replica's memory twice. The responses tell the
- * versions of the VMs' copies of the store's objects.
+ * a burst, VMs that do not know of each other's requests would fill a replica's memory twice.
  */
 internal class LoadBroadcaster(
     private val scope: CoroutineScope,
@@ -23,7 +21,6 @@
     private val domains: FailureDomains,
     private val peers: PeerClient,
     private val table: ReplicaTable,
-    private val copies: CopyExchange,
 ) {
     private val log = LoggerFactory.getLogger(javaClass)
     private var lastSent = emptyMap<String, Long>()
@@ -50,9 +47,7 @@
 
     private suspend fun send(vm: VmRecord, body: ByteArray) {
         try {
-            val calledAt = monotonicMillis()
-            val answer = PeerMessages.exchange(peers.post(vm.control, PATH, body))
-            copies.compare(answer.copies, vm.control, calledAt)
+            peers.post(vm.control, PATH, body)
         } catch (e: ConnectFailedException) {
             if (e.refused) updates.fleet.connectionRefused(vm.name)
             log.debug("sending load to VM {} failed: {}", vm.name, e.message)
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
@@ -28,7 +28,7 @@
     val kind: StoreObjectKind,
     private val store: PlatformStore,
     private val scope: CoroutineScope,
-    checksFirst: (StoreObjectKind) -> Boolean = { true },
+    checksFirst: () -> Boolean = { true },
     private val onChange: (StoreObjectCache) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger(javaClass)
@@ -183,7 +183,8 @@
 
         /**
          * 1.5 times this, [RECOVERY_WATCH_MILLIS] and [RECOVERY_MILLIS] together are less than the platform's
-         * `contactMs`: removals must take effect from 4 s after an outage.
+         * `contactMs`: removals must take effect from 4 s after an outage. A call that a silent store lost may take 1 s
+         * more, which is within `drainMs`.
          */
         const val MAX_BACKOFF_MILLIS = 1_000L
     }
--- /dev/null
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/CopyExchangeTest.kt
@@ -0,0 +1,59 @@
+package fireflyhinge.gateway.fleet
+
+import fireflyhinge.forward.CopyVersion
+import fireflyhinge.forward.StoreItem
+import fireflyhinge.forward.StoreObjectKind
+import fireflyhinge.forward.StoreReadResult
+import fireflyhinge.forward.VmRecord
+import fireflyhinge.gateway.http.ConnectionPool
+import fireflyhinge.gateway.http.HttpClient
+import fireflyhinge.gateway.http.HttpListener
+import fireflyhinge.gateway.http.IoLoop
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.launch
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.TimeUnit
+
+class CopyExchangeTest {
+    private val io = IoLoop()
+    private val address = ServerSocket(0).use { InetSocketAddress("127.0.0.1", it.localPort) }
+    private val listing = StoreReadResult.Listing(listOf(StoreItem("a", 5, "{}")), 5)
+    private val copies = ArrayBlockingQueue<Set<String>>(16)
+
+    @AfterEach
+    fun stop() = io.close()
+
+    private inner class RefusingStore : PlatformStore {
+        override suspend fun list(kind: StoreObjectKind) = StoreReadResult.Unavailable("status 503")
+
+        override suspend fun watch(kind: StoreObjectKind, revision: Long, waitMillis: Long) = awaitCancellation()
+
+        override suspend fun register(record: VmRecord) = false
+
+        override suspend fun put(kind: StoreObjectKind, name: String, body: String) = false
+
+        override suspend fun remove(kind: StoreObjectKind, name: String) = false
+    }
+
+    /** Guards against copies that spread too slowly from the only VM that the store serves. */
+    @Test
+    fun aNewerCopyIsFetchedFromAVmThatOffersIt() {
+        val listener =
+            HttpListener(io, address, handler = { _, response ->
+                response.respond(200, DefaultHttpHeaders(), PeerMessages.encode(listing))
+            }).start()
+        val mirror = StoreMirror(StoreObjectKind.REPLICAS, RefusingStore(), io.scope) { copies.add(it.items().keys) }
+        io.scope.launch { mirror.run() }
+        val exchange = CopyExchange(listOf(mirror), PeerClient(HttpClient(ConnectionPool(io))), io.scope) { null }
+        val offered = mapOf(StoreObjectKind.REPLICAS to CopyVersion(5, "digest"))
+        io.scope.launch { exchange.offer(offered, "127.0.0.1:${address.port}") }
+        assertEquals(setOf("a"), copies.poll(5, TimeUnit.SECONDS))
+        listener.stopAccepting()
+    }
+}
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
@@ -145,7 +145,9 @@
                 PeerQuotaBorrower.PATH,
                 PeerQuotaBorrower.REPAY_PATH,
                 EvidenceBroadcaster.PATH,
+                CopyExchange.PATH,
             )
-        assertEquals(listOf("exchange", "feed/", "record", "borrow", "repay", "evidence").map { "/peer/v1/$it" }, paths)
+        val names = listOf("exchange", "feed/", "record", "borrow", "repay", "evidence", "copies")
+        assertEquals(names.map { "/peer/v1/$it" }, paths)
     }
 }
