Treat a response without a valid status as no response

A replica's response with the status 000, 0, 007, 099 or 1000 reached callers as a response with the status 0, 0, 7, 99 or 1000, and one with 0200 or +200 as a 200, on retryable and other routes. Netty parses any integer as a status.

The decoder now rejects a status line whose status is not three digits from 100 to 599. The connection is closed and the request counts as one that may have run: it is retried where its route allows that, otherwise the caller gets a 502.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/ResponseDecoder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/ResponseDecoder.kt
@@ -57,6 +57,12 @@
         }
     }
 
+    /** Netty parses any integer as a status; a response without a valid one is malformed. */
+    override fun createMessage(initialLine: Array<out String>): HttpMessage {
+        require(STATUS.matches(initialLine[1])) { "invalid status: ${initialLine[1]}" }
+        return super.createMessage(initialLine)
+    }
+
     /** The HTTP decoder emits a head in the same call that consumes its last bytes, and a body in later calls. */
     private fun updateState(out: List<Any>) {
         if (out.any { it is HttpMessage }) inHead = false
@@ -75,6 +81,7 @@
         (message is HttpResponse && hasNoBody(message)) || super.isContentAlwaysEmpty(message)
 
     private companion object {
+        val STATUS = Regex("[1-5][0-9]{2}")
         const val MAX_STATUS_LINE_BYTES = 4_096
         const val MAX_HEADER_BYTES = 32_768
         const val MAX_CHUNK_BYTES = 16_384
