Move a prompt to another prefill replica only while that helps its objective

A prompt is now moved after 800 ms only if its objective can still be met, else after 1,500 ms, longer than a healthy replica pauses.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
@@ -1,9 +1,11 @@
 package fireflyhinge.gateway.forward
 
 import fireflyhinge.forward.KvCacheLocation
+import fireflyhinge.forward.PrefillTimeout
 import fireflyhinge.forward.ReplicaStage
 import fireflyhinge.forward.ReplicaState
 import fireflyhinge.gateway.http.monotonicMillis
+import java.util.Locale
 
 /** Sends model requests to prefill replicas. */
 internal class PrefillDispatcher(
@@ -25,14 +27,20 @@
             val again = retry || number > 0
             if (context.barred || again && !routing.retries.tryAcquire(context.service)) return PrefillResult.Failed
             avoid += state.replica.id
-            val another = number + 1 < MAX_ATTEMPTS && routing.retries.isAvailable(context.service) &&
-                routing.selector.select(context.service, ReplicaStage.PREFILL, avoid, near) != null
-            val timeout = if (another) RETRYABLE_TIMEOUT_MILLIS else LAST_TIMEOUT_MILLIS
-            send(context, state, timeout)?.let { return PrefillResult.Completed(it) }
+            send(context, state, timeoutMillis(context, number, avoid, near))?.let { return PrefillResult.Completed(it) }
         }
         return PrefillResult.Failed
     }
 
+    /** Time for the attempt with [number], before the prompt is sent to a replica that is not in [avoid]. */
+    private fun timeoutMillis(context: RequestContext, number: Int, avoid: Set<String>, near: String): Long {
+        val another = number + 1 < MAX_ATTEMPTS && routing.retries.isAvailable(context.service) &&
+            routing.selector.select(context.service, ReplicaStage.PREFILL, avoid, near) != null
+        if (!another) return PrefillTimeout.LAST_MILLIS
+        val elapsed = monotonicMillis() - context.request.arrivedMillis
+        return PrefillTimeout.retryableMillis(context.admission.route.objectiveMillis - elapsed)
+    }
+
     /** Whether there are prefill replicas in the region of [near] that want no requests for a while. */
     private fun backingOff(context: RequestContext, near: String): Boolean =
         routing.table.backingOff(context.service, ReplicaStage.PREFILL).any { routing.selector.inRegion(it, near) }
@@ -48,11 +56,12 @@
         val timeout = minOf(timeoutMillis, context.remainingMillis)
         val tokens = context.metadata.promptTokens ?: 0
         val began = monotonicMillis()
+        val load = "%.2f".format(Locale.ROOT, routing.selector.load(context.service, state))
         val result = sender.sendAndRead(state, context.request, call, timeout, tokens)
         val cache = (result as? SendResult.Responded)?.takeIf { it.status == OK }
             ?.let { sender.cache(state.replica.address, it.body) }
         val outcome = if (cache == null) describe(result) else "ok"
-        context.attemptLog += "prefill ${state.replica.id} $outcome ${monotonicMillis() - began} ms"
+        context.attemptLog += "prefill ${state.replica.id} $outcome ${monotonicMillis() - began} ms, load $load"
         if (cache != null || result is SendResult.NoResponse) state.recordPrefill(tokens, monotonicMillis() - began)
         if (result is SendResult.NoResponse && result.brokenOff) {
             crashes.record(state, BrokenRun(context, settled = false))
@@ -75,11 +84,5 @@
     private companion object {
         const val OK = 200
         const val MAX_ATTEMPTS = 2
-
-        /** The longest prompt takes 0.2 s; the rest allows for a queue, since a time-out discards the prefill. */
-        const val RETRYABLE_TIMEOUT_MILLIS = 800L
-
-        /** Time-out if no other replica can prefill instead. */
-        const val LAST_TIMEOUT_MILLIS = ReplicaTimeouts.HEALTHY_PAUSE_MILLIS
     }
 }
