Give the shares of a limit to VMs that are up

Cause: the holders of a limit's shares were drawn over the list of VMs whether or not they were up. After a loss of power their connections were refused, and callers within their limits got 429.

Change: the first eight VMs in a limit's order that are not down hold its shares. A VM is down for another one for 400 ms after it refused a connection, and a process holds no share in the first 500 ms in which it listens, so no two VMs hold one share. A restarted VM begins without tokens; after a loss of power the first VMs share a start credit that is not more than what nobody accrued meanwhile plus a part of the tolerated excess. A refused loan is asked of the next VM at once.

--- a/core/src/main/kotlin/fireflyhinge/forward/FleetView.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/FleetView.kt
@@ -5,7 +5,10 @@
 
 /** Membership view of this VM, built by direct exchanges and gossip. Thread-safe. */
 class FleetView(self: VmRecord, private val clock: MonotonicClock = MonotonicClock.SYSTEM) {
-    private class Known(var record: VmRecord, var heardAt: Long, var refusedHeartbeat: Long? = null)
+    private class Known(var record: VmRecord, var heardAt: Long, var refusedHeartbeat: Long? = null) {
+        /** Latest time at which something was learned of the VM: a newer heartbeat, or that it refused a connection. */
+        var learnedAt = heardAt
+    }
 
     private val known = LinkedHashMap<String, Known>()
     private var own = self
@@ -36,6 +39,7 @@
             } else if (record.newerThan(held.record)) {
                 held.record = record
                 held.heardAt = now
+                held.learnedAt = now
             }
         }
     }
@@ -43,9 +47,29 @@
     /** Marks VM [name], which refused a connection, as not live until its heartbeat advances. */
     @Synchronized
     fun connectionRefused(name: String) {
-        known[name]?.let { it.refusedHeartbeat = it.record.heartbeat }
+        known[name]?.let {
+            it.refusedHeartbeat = it.record.heartbeat
+            it.learnedAt = clock.millis()
+        }
     }
 
+    /** Record of VM [name], or null if it is not known. */
+    @Synchronized
+    fun record(name: String): VmRecord? = known[name]?.record
+
+    /**
+     * Whether too little was learned of the other VMs within [ISOLATION_MILLIS] to exclude that they drop this one from
+     * the [quotaMembers]. Shorter than [QUOTA_TIMEOUT_MILLIS], so that this VM notices it first.
+     */
+    val quotaIsolated: Boolean
+        @Synchronized get() {
+            val now = clock.millis()
+            return known.size > 1 && known.values.count { now - it.learnedAt < ISOLATION_MILLIS } * 2 < known.size
+        }
+
+    /** Number of VMs that this one knows, itself included. */
+    val size: Int @Synchronized get() = known.size + 1
+
     /**
      * Factor on the gossip interval, relative to a small fleet. Messages grow with the number of VMs, so they are sent
      * less often; the nearest VMs still update each other with each request.
@@ -53,9 +77,6 @@
     val exchangeIntervalFactor: Double
         @Synchronized get() = (known.size.toDouble() / SMALL_FLEET_VMS).coerceIn(1.0, MAX_INTERVAL_FACTOR)
 
-    /** Position of this VM among the live ones in an order that differs by [name]. */
-    fun rank(name: String): Int = ordered(name).indexOfFirst { it.name == self.name }
-
     /** This VM and the live ones that are [eligible], in an order that differs by [name] (rendezvous hashing). */
     fun ordered(name: String, eligible: (VmRecord) -> Boolean = { true }): List<VmRecord> =
         (live().filter(eligible) + self).sortedBy { "$name/${it.name}".hashCode() * HASH_MULTIPLIER }
@@ -75,22 +96,23 @@
     }
 
     /**
-     * Names of the VMs that share quotas: this one and all whose heartbeat advanced within [QUOTA_TIMEOUT_MILLIS]. If
-     * most have timed out, this VM is probably partitioned and the others still use their shares; then all count.
+     * Names of the VMs that share quotas: this one and all whose heartbeat advanced within [QUOTA_TIMEOUT_MILLIS], or
+     * that are known to be down, for which [QuotaHolders] finds substitutes. If most have timed out,
+     * this VM is probably partitioned and the others still use their shares; then all count.
      */
     @Synchronized
     fun quotaMembers(): List<String> {
         val now = clock.millis()
-        val heard = known.filterValues { now - it.heardAt < QUOTA_TIMEOUT_MILLIS }.keys
+        val heard = known.filterValues { now - it.learnedAt < QUOTA_TIMEOUT_MILLIS }.keys
         return listOf(own.name) + if (heard.size * 2 >= known.size) heard else known.keys
     }
 
     /**
-     * Names of the VMs that hold shares of the quota [name]: [MAX_QUOTA_HOLDERS] of the [quotaMembers], the same on
-     * each VM with the same view (rendezvous hashing). With more holders a share would be smaller than one request.
+     * Names of the VMs that hold shares of the quota [name]: [count] of the [quotaMembers], the same on each VM with
+     * the same view (rendezvous hashing). With more than [MAX_QUOTA_HOLDERS] a share would be smaller than one request.
      */
-    fun quotaHolders(name: String): List<String> =
-        quotaMembers().sortedBy { "$name/$it".hashCode() * HASH_MULTIPLIER }.take(MAX_QUOTA_HOLDERS)
+    fun quotaHolders(name: String, count: Int = MAX_QUOTA_HOLDERS): List<String> =
+        quotaMembers().sortedBy { "$name/$it".hashCode() * HASH_MULTIPLIER }.take(count)
 
     private companion object {
         /** A heartbeat spreads within about two exchanges of 500 ms each; the timeout is about twice that. */
@@ -105,8 +127,11 @@
         /** Longer than a restart or a typical partition, so that these do not change the shares. */
         const val QUOTA_TIMEOUT_MILLIS = 20_000L
 
+        /** Leaves 8 s until the others drop this VM: the gossip of a large fleet takes up to 5 s. */
+        const val ISOLATION_MILLIS = 12_000L
+
         /** An eighth of the smallest current workspace quota still holds a few requests. */
-        const val MAX_QUOTA_HOLDERS = 8
+        const val MAX_QUOTA_HOLDERS = QuotaHolders.MAX_HOLDERS
 
         /** Fibonacci hashing multiplier, which spreads the hash codes of similar names. */
         const val HASH_MULTIPLIER = -1_640_531_527
--- a/core/src/main/kotlin/fireflyhinge/forward/QuotaShare.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/QuotaShare.kt
@@ -8,9 +8,20 @@
     var level: Double = level
         private set
 
+    /** Time until which [rate] holds. */
+    var rateUntil = Long.MAX_VALUE
+
+    /** Time at which this VM ceased to hold a share of the limit or got tokens back since; null while it holds one. */
+    var endedAt: Long? = null
+        private set
+
+    /** Whether tokens from before [endedAt] may be left. */
+    private var keepsTokens = false
+
     fun advance(now: Long) {
-        val accrued = rate * (now - updatedAt) / MILLIS_PER_SECOND
-        if (now > updatedAt && level < depth) level = minOf(depth, level + accrued)
+        val until = minOf(now, rateUntil)
+        val accrued = rate * (until - updatedAt) / MILLIS_PER_SECOND
+        if (until > updatedAt && level < depth) level = minOf(depth, level + accrued)
         updatedAt = maxOf(updatedAt, now)
     }
 
@@ -25,7 +36,35 @@
         level += tokens
     }
 
+    /**
+     * Sets whether this VM holds a share now. What one that holds none any more has left beyond [reserve] is dropped
+     * [DROP_MILLIS] later: its successor accrues tokens of its own.
+     */
+    fun hold(held: Boolean, reserve: Double, now: Long) {
+        if (held) {
+            endedAt = null
+            return
+        }
+        val ended = endedAt ?: minOf(now, rateUntil)
+        if (endedAt == null) keepsTokens = true
+        endedAt = ended
+        if (!keepsTokens || now - ended < DROP_MILLIS) return
+        level = minOf(level, reserve)
+        keepsTokens = false
+    }
+
+    /** Adds tokens that are returned, up to a level of [most]; those beyond it are lost. */
+    fun addReturned(tokens: Double, most: Double, now: Long) {
+        add(minOf(tokens, maxOf(0.0, most - level)))
+        if (endedAt == null) return
+        endedAt = now
+        keepsTokens = true
+    }
+
     private companion object {
         const val MILLIS_PER_SECOND = 1000.0
+
+        /** Ten attempts to repay the tokens to a holder. */
+        const val DROP_MILLIS = 2_000L
     }
 }
--- a/core/src/main/kotlin/fireflyhinge/forward/QuotaShares.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/QuotaShares.kt
@@ -10,30 +10,51 @@
  * Thread-safe.
  *
  * @param part this VM's fraction of a workspace's limit, from 0 to 1.
- * @param firstStart whether this is the first start of the fleet; a restarted VM begins with a fraction of its depth,
- * since the previous process may have used the rest within the same window.
+ * @param firstStart whether this is the first start of the fleet. A restarted VM begins without tokens, since others
+ * may have used those of its previous process within the same window.
+ * @param partUntil time until which the current [part] holds; it is read before [part].
+ * @param startCredit fraction of the start credit with which a restarted VM begins, null while it is not known. The
+ * credit replaces tokens that no VM accrued while too few VMs ran to hold all shares.
+ * @param vms number of VMs that may hold a reserve.
  */
 class QuotaShares(
     private val bounds: QuotaBounds,
     private val part: (String) -> Double,
     private val firstStart: Boolean,
     private val clock: MonotonicClock = MonotonicClock.SYSTEM,
+    private val partUntil: (String) -> Long = { Long.MAX_VALUE },
+    private val startCredit: () -> Double? = { DEFAULT_CREDIT },
+    private val vms: () -> Int = { 1 },
 ) {
     private val shares = HashMap<String, QuotaShare>()
-
-    // Buckets are created at their first use, but accrue tokens from the start of this process: the previous process
-    // took none after it.
+    private val credited = HashSet<String>()
+    private val depths = QuotaDepths(bounds)
     private val startedAt = clock.millis()
 
+    /** Whether this process is younger than the window, so that its shares may not have accrued their tokens yet. */
+    val young: Boolean get() = !firstStart && clock.millis() - startedAt < bounds.windowMillis
+
+    /** Accrues and expires tokens of [workspaces]; to be called several times a second. */
+    @Synchronized
+    fun refresh(workspaces: Collection<ForwardWorkspace>) {
+        workspaces.forEach { if (it.limit.ratePerSecond > 0) share(it) }
+    }
+
     /** Takes [tokens] from [workspace]'s share, or returns false if there are too few. */
     @Synchronized
     fun take(workspace: ForwardWorkspace, tokens: Double): Boolean =
         workspace.limit.ratePerSecond <= 0 || share(workspace).take(tokens)
 
-    /** Returns unused [tokens] to the share, or adds tokens lent by another VM. */
+    /**
+     * Adds [tokens] lent by another VM. Of tokens that are [returned], by a request that did not run or by another VM,
+     * those far above the depth are lost, so that the sum of the stored tokens is bounded.
+     */
     @Synchronized
-    fun add(workspace: ForwardWorkspace, tokens: Double) {
-        if (workspace.limit.ratePerSecond > 0) share(workspace).add(tokens)
+    fun add(workspace: ForwardWorkspace, tokens: Double, returned: Boolean = false) {
+        if (workspace.limit.ratePerSecond <= 0) return
+        val share = share(workspace)
+        if (!returned) return share.add(tokens)
+        share.addReturned(tokens, depths.overfilled(workspace.limit, share.depth), clock.millis())
     }
 
     /** Takes up to [wanted] tokens for another VM and returns the amount. */
@@ -64,12 +85,14 @@
     fun takeSurplus(workspace: ForwardWorkspace): Double {
         if (workspace.limit.ratePerSecond <= 0 || part(workspace.name) > 0) return 0.0
         val share = share(workspace)
+        // A VM that has just started may be about to hold a share.
+        if (clock.millis() - (share.endedAt ?: 0) < KEEP_MILLIS) return 0.0
         val surplus = share.level - reserve(workspace)
         return if (surplus >= 1 && share.take(surplus)) surplus else 0.0
     }
 
     private fun reserve(workspace: ForwardWorkspace): Double =
-        if (part(workspace.name) > 0) 0.0 else workspace.limit.ratePerSecond * RESERVE_SECONDS
+        if (part(workspace.name) > 0) 0.0 else depths.reserve(workspace.limit, vms())
 
     /** Milliseconds until this VM's share holds [tokens], from [MIN_WAIT_MILLIS] to [MAX_WAIT_MILLIS]. */
     @Synchronized
@@ -80,44 +103,35 @@
     }
 
     private fun share(workspace: ForwardWorkspace): QuotaShare {
-        val fraction = part(workspace.name)
-        val rate = workspace.limit.ratePerSecond * fraction
-        val depth = depth(workspace.limit) * fraction
+        val name = workspace.name
+        val until = partUntil(name)
+        val fraction = part(name)
+        val depth = depths.depth(workspace.limit) * fraction
         val now = clock.millis()
-        val share =
-            shares.getOrPut(workspace.name) {
-                QuotaShare(rate, depth, if (firstStart) depth else depth * RESTART_FRACTION, startedAt)
-            }
+        val share = shares.getOrPut(name) { QuotaShare(0.0, 0.0, 0.0, now) }
         // Tokens up to now accrue at the previous rate.
         share.advance(now)
-        share.rate = rate
+        share.hold(fraction > 0, reserve(workspace), now)
+        share.rate = workspace.limit.ratePerSecond * fraction
+        share.rateUntil = until
         share.depth = depth
+        if (name !in credited) {
+            val whole = depths.startCredit(workspace.limit)
+            val credit = if (firstStart) depth.takeIf { it > 0 } else startCredit()?.let { whole * it }
+            credit?.let { share.add(it) }
+            if (credit != null) credited += name
+        }
         return share
     }
 
-    /**
-     * Total depth of the buckets of one limit on all VMs: the burst plus [EXCESS_FRACTION] of the tolerated excess. The
-     * excess is a fraction of the tokens per window ([QuotaBounds.overage]) and a fixed number of tokens.
-     */
-    private fun depth(limit: WorkspaceLimit): Double {
-        val overage = bounds.overage * limit.ratePerSecond * bounds.windowMillis / MILLIS_PER_SECOND
-        return limit.burst + (overage + bounds.slackTokens) * EXCESS_FRACTION
-    }
-
     private companion object {
         const val MILLIS_PER_SECOND = 1000.0
 
-        /** Fraction of the tolerated excess in the buckets. The rest covers VMs that restart within a window. */
-        const val EXCESS_FRACTION = 0.6
-
-        /** Fraction of its depth with which a restarted VM begins. */
-        const val RESTART_FRACTION = 0.3
+        /** Half of an equal part of the start credit, for a process that does not know how many others run. */
+        const val DEFAULT_CREDIT = 0.0625
 
-        /**
-         * Reserve that a VM without a share of the limit keeps, in seconds of the limit's rate. With it, small requests
-         * do not need a loan each. The reserves of 100 such VMs add up to the tokens of one second.
-         */
-        const val RESERVE_SECONDS = 0.01
+        /** Time for which a VM without a share keeps tokens, since it may be about to hold one. */
+        const val KEEP_MILLIS = QuotaHolders.START_MILLIS + 100
 
         const val MIN_WAIT_MILLIS = 100L
         const val MAX_WAIT_MILLIS = 3_000L
--- a/core/src/main/kotlin/fireflyhinge/result/ResultCode.kt
+++ b/core/src/main/kotlin/fireflyhinge/result/ResultCode.kt
@@ -38,6 +38,7 @@
     QUOTA_UNAVAILABLE(3003, 503, NOT_RUN, "The owner of the workspace's quota did not answer in time."),
     FINGERPRINT_BARRED(3004, 422, NOT_RUN, "The request crashed upstreams and is barred for a while."),
     CRASH_SUSPECTED(3005, 503, NOT_RUN, "Requests like this one crashed upstreams and are refused for a while."),
+    RATE_NOT_KNOWN(3006, 503, NOT_RUN, "This VM cannot tell yet whether the workspace is within its rate; try again."),
     CAPACITY_EXHAUSTED(4001, 503, NOT_RUN, "No capacity became free within the longest wait of the request."),
     PLACEMENT_UNAVAILABLE(4002, 503, NOT_RUN, "The scheduler of the pool did not answer in time."),
     NO_UPSTREAM(4003, 503, NOT_RUN, "No upstream of the route is available."),
--- /dev/null
+++ b/core/src/test/kotlin/fireflyhinge/forward/QuotaHoldersTest.kt
@@ -0,0 +1,124 @@
+package fireflyhinge.forward
+
+import fireflyhinge.forward.QuotaFleetSimulation.Answer
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+class QuotaHoldersTest {
+    private val bounds = QuotaBounds(windowMillis = 8_000, overage = 0.1, slackTokens = 120_000.0)
+
+    private fun workspace(name: String, rate: Double) =
+        ForwardWorkspace(name, WorkspaceLimit(rate, rate), defaultCost = 200, chargesTokens = true)
+
+    private fun allowed(limit: WorkspaceLimit) = (limit.ratePerSecond * 8 + limit.burst) * 1.1 + bounds.slackTokens
+
+    /**
+     * Guards against more tokens in some window than a limit allows, summed over all VMs, while VMs die, start again,
+     * lose power together, freeze and are partitioned in random order, and callers send three times the limit.
+     */
+    @Test
+    fun noScheduleOfStartsKillsAndPartitionsExceedsTheLimit() {
+        val seeds = (System.getProperty("quota.seeds") ?: "2").toInt()
+        for (size in listOf(8, 68)) {
+            val worst = (1..seeds).maxOf { seed -> playRandom(size, Random(seed)) }
+            println("$size VMs: at most $worst of the bound")
+            assertTrue(worst <= 1.0, "$size VMs: $worst of the bound")
+        }
+    }
+
+    private fun playRandom(size: Int, random: Random): Double {
+        val workspaces = listOf(workspace("a", 15_000.0), workspace("b", 100_000.0))
+        val fleet = QuotaFleetSimulation(size, bounds, workspaces, random)
+        val starts = ArrayList<Pair<Long, String>>()
+        val firstStart = random.nextBoolean()
+        fleet.names.forEach { starts += fleet.now + random.nextLong(3_000) to it }
+        var first = true
+        repeat(6_000) { step ->
+            fleet.step()
+            starts.filter { it.first <= fleet.now }.forEach { fleet.start(it.second, first && firstStart) }
+            starts.removeAll { it.first <= fleet.now }
+            if (step == 400) first = false
+            if (step > 400 && random.nextInt(150) == 0) disturb(fleet, random, starts)
+            workspaces.forEach { workspace ->
+                // Three times the limit, over the VMs that are up.
+                val requests = workspace.limit.ratePerSecond * 3 / 100 / 2_735
+                repeat(requests.toInt() + if (random.nextDouble() < requests % 1) 1 else 0) {
+                    val vm = fleet.up.values.randomOrNull(random) ?: return@repeat
+                    fleet.charge(vm, workspace, if (random.nextBoolean()) 200.0 else 5_270.0, lossOneIn = 20)
+                }
+            }
+        }
+        return workspaces.maxOf { fleet.most(it).first / allowed(it.limit) }
+    }
+
+    private fun disturb(fleet: QuotaFleetSimulation, random: Random, starts: ArrayList<Pair<Long, String>>) {
+        val names = fleet.up.keys.toList().ifEmpty { return }
+        val dead =
+            when (random.nextInt(8)) {
+                0, 1 -> listOf(names.random(random))
+                2 -> names.filter { random.nextBoolean() }
+                3, 4 -> names
+                5 -> emptyList<String>().also { fleet.partition(random.nextInt(1, 4)) }
+                6 -> emptyList<String>().also { fleet.partition(1) }
+                else -> emptyList<String>().also {
+                    fleet.up.getValue(names.random(random)).frozenUntil = fleet.now + random.nextLong(10_000)
+                }
+            }
+        dead.forEach { name ->
+            fleet.kill(name)
+            val pause = if (random.nextInt(4) == 0) 25_000L else 3_000L
+            starts += fleet.now + 1_000 + random.nextLong(pause) to name
+        }
+    }
+
+    /**
+     * Load: all 68 VMs lose power, the first is up after 1.9 s and the others in the 3 s after that; 16 workspaces send
+     * a quarter to nine tenths of their limits. Guards against refusals of callers within their limits, above all as
+     * "over its rate", because the holders of shares are not up.
+     */
+    @Test
+    fun callersWithinTheirLimitsAreServedAfterALossOfPower() {
+        val before = (1..3).map { playPowerLoss(Random(it), fixed = true) }
+        val after = (1..3).map { playPowerLoss(Random(it), fixed = false) }
+        val text = "before $before, after $after"
+        println(text)
+        assertEquals(0, after.sumOf { it[Answer.OVER_LIMIT] ?: 0 }, text)
+    }
+
+    private fun playPowerLoss(random: Random, fixed: Boolean): Map<Answer, Int> {
+        val workspaces = (0 until 16).map { workspace("w$it", 13_600 / (0.25 + 0.65 * it / 15)) }
+        val fleet = QuotaFleetSimulation(68, bounds, workspaces, random, fixed)
+        fleet.names.forEach { fleet.start(it) }
+        repeat(2_000) { fleet.step() }
+        fleet.names.forEach { fleet.kill(it) }
+        val starts = fleet.names.shuffled(random).mapIndexed { n, name -> fleet.now + 1_900 + n * 44 to name }
+        val answers = HashMap<Answer, Int>()
+        val waiting = ArrayList<Triple<Long, QuotaFleetSimulation.Vm, Pair<ForwardWorkspace, Double>>>()
+        repeat(490) {
+            fleet.step()
+            starts.filter { it.first <= fleet.now }.forEach { fleet.start(it.second) }
+            val vms = fleet.up.values.toList().ifEmpty { return@repeat }
+            val due = waiting.filter { it.first <= fleet.now }
+            waiting.removeAll(due)
+            due.forEach { (_, vm, request) ->
+                answers.merge(fleet.charge(vm, request.first, request.second), 1, Int::plus)
+            }
+            workspaces.forEach { workspace ->
+                listOf(5_270.0 to 36.0, 200.0 to 140.0).forEach { (tokens, perSecond) ->
+                    if (random.nextDouble() < perSecond / workspaces.size / 100) {
+                        val vm = vms.random(random)
+                        val answer = fleet.charge(vm, workspace, tokens)
+                        if (answer == Answer.GRANTED) {
+                            answers.merge(answer, 1, Int::plus)
+                        } else {
+                            waiting += Triple(fleet.now + 80, vm, workspace to tokens)
+                        }
+                    }
+                }
+            }
+        }
+        return answers
+    }
+}
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -2,11 +2,14 @@
 
 import fireflyhinge.forward.CallerLimits
 import fireflyhinge.forward.CrashEvidence
+import fireflyhinge.forward.DownVms
 import fireflyhinge.forward.FailureDomains
 import fireflyhinge.forward.FleetView
 import fireflyhinge.forward.ForwardConfig
 import fireflyhinge.forward.GatewayAddressSelector
+import fireflyhinge.forward.QuotaHolders
 import fireflyhinge.forward.QuotaShares
+import fireflyhinge.forward.QuotaStartCredit
 import fireflyhinge.forward.ReplicaSelector
 import fireflyhinge.forward.ReplicaTable
 import fireflyhinge.forward.RetryBudgetShares
@@ -24,6 +27,8 @@
 import fireflyhinge.gateway.fleet.LoadBroadcaster
 import fireflyhinge.gateway.fleet.PeerClient
 import fireflyhinge.gateway.fleet.PeerQuotaBorrower
+import fireflyhinge.gateway.fleet.QuotaMetrics
+import fireflyhinge.gateway.fleet.QuotaProber
 import fireflyhinge.gateway.fleet.StoreMirror
 import fireflyhinge.gateway.forward.CrashDetector
 import fireflyhinge.gateway.forward.CrashGuard
@@ -68,13 +73,45 @@
     private val evidenceMirror =
         StoreMirror(StoreObjectKind.CRASHES, store, io.scope, checker::isSelf, evidenceStore::read)
     private val mirrors = listOf(configMirror, replicaMirror, evidenceMirror)
-    private val peers = PeerClient(HttpClient(ConnectionPool(io, defaultIdleLimitMillis = PEER_IDLE_MILLIS)))
+    private val peerPool = ConnectionPool(io, defaultIdleLimitMillis = PEER_IDLE_MILLIS)
+    private val peers = PeerClient(HttpClient(peerPool))
     private val updates = FleetUpdates(fleet, table, ::ready)
     private val copies = CopyExchange(mirrors, peers, io.scope, checker::other)
     private val gossip = Gossip(domains, peers, copies, { this.settings.seeds }, updates, evidence)
     private val evidenceBroadcaster = EvidenceBroadcaster(evidence, fleet, peers, io.scope)
     private val guard = CrashGuard(evidence, registry)
-    private val shares = QuotaShares(settings.quota, ::quotaShare, settings.firstStart)
+    private val downVms = DownVms(fleet)
+    private val quotaHolders = QuotaHolders(fleet, downVms, settings.firstStart)
+    private val startCredit = QuotaStartCredit(fleet, downVms)
+    private val quotaMetrics = QuotaMetrics(registry)
+    private val shares =
+        QuotaShares(
+            settings.quota,
+            part = quotaHolders::part,
+            settings.firstStart,
+            partUntil = quotaHolders::partUntil,
+            startCredit = startCredit::fraction,
+            vms = { fleet.size },
+        )
+    private val quotaCharger =
+        QuotaCharger(
+            shares,
+            PeerQuotaBorrower(fleet, quotaHolders, downVms, domains, peers, quotaMetrics),
+            io.scope,
+            quotaMetrics,
+        )
+    private val quotaProber =
+        QuotaProber(
+            downVms,
+            quotaHolders,
+            startCredit,
+            peerPool,
+            workspaces = { config?.workspaces?.keys.orEmpty() },
+            refresh = {
+                if (fleetKnown()) quotaHolders.listed = true
+                quotaCharger.refresh(config?.workspaces?.values.orEmpty())
+            },
+        )
     private val retries =
         RetryBudgetShares(settings.retries) {
             if (fleetKnown()) fleet.quotaMembers().size else maxOf(fleet.quotaMembers().size, ASSUMED_VMS)
@@ -105,7 +142,7 @@
             pipeline =
             ForwardPipeline(
                 guard = guard,
-                quota = QuotaCharger(shares, PeerQuotaBorrower(fleet, domains, peers), io.scope),
+                quota = quotaCharger,
                 plain = PlainForwarder(routing, sender, crashes),
                 streams = StreamForwarder(routing, sender, replicaCalls, crashes),
             ),
@@ -137,6 +174,8 @@
             evidenceStore.notifyChange()
         }
         (discovery + control + front).forEach { it.start() }
+        quotaHolders.listening()
+        io.scope.launch { quotaProber.run() }
         io.scope.launch { discoverFleet() }
         mirrors.forEach { mirror -> io.scope.launch { mirror.run() } }
         io.scope.launch { gossip.run() }
@@ -194,20 +233,11 @@
             if (!found) delay(REGISTER_PAUSE_MILLIS)
         }
         fleetListed = true
+        quotaHolders.listed = true
     }
 
     private fun ready(): Boolean = !front.draining && config != null && replicaMirror.revision > 0
 
-    /** This VM's share of the limit of [workspace], from 0 to 1; a small one until the other VMs are known. */
-    private fun quotaShare(workspace: String): Double {
-        val holders = fleet.quotaHolders(workspace)
-        return when {
-            !fleetKnown() -> 1.0 / ASSUMED_VMS
-            fleet.self.name in holders -> 1.0 / holders.size
-            else -> 0.0
-        }
-    }
-
     private fun fleetKnown() =
         fleetListed || gossip.answered > 0 || monotonicMillis() - startedAt > UNKNOWN_FLEET_MILLIS
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/ControlHandler.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/ControlHandler.kt
@@ -55,12 +55,12 @@
     private fun lend(body: ByteArray): ByteArray {
         val (workspace, tokens) = PeerMessages.loan(body)
         val lent = config()?.workspaces?.get(workspace)?.let { quota.lend(it, tokens) } ?: 0.0
-        return PeerMessages.encodeLoan(workspace, lent)
+        return PeerMessages.encodeLoan(workspace, lent, quota.young)
     }
 
     private fun acceptRepayment(body: ByteArray) {
         val (workspace, tokens) = PeerMessages.loan(body)
-        config()?.workspaces?.get(workspace)?.let { quota.add(it, tokens) }
+        config()?.workspaces?.get(workspace)?.let { quota.add(it, tokens, returned = true) }
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/EvidenceStore.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/EvidenceStore.kt
@@ -76,7 +76,7 @@
     /** Whether this VM is to write or remove object [name] now: from [delayMillis] on, one VM after another. */
     private fun isTurn(name: String, delayMillis: Long): Boolean {
         val since = due.getOrPut(name) { monotonicMillis() }
-        return monotonicMillis() - since >= delayMillis + minOf(fleet.rank(name), MAX_RANK) * TURN_MILLIS
+        return monotonicMillis() - since >= delayMillis + minOf(rank(name), MAX_RANK) * TURN_MILLIS
     }
 
     private suspend fun put(name: String, trait: Trait) {
@@ -108,6 +108,9 @@
             EvidenceReport()
         }
 
+    /** Position of this VM among the live ones in an order that differs by [name]. */
+    private fun rank(name: String): Int = fleet.ordered(name).indexOfFirst { it.name == fleet.self.name }
+
     private companion object {
         /** Time in which a VM sees what the one before it wrote. */
         const val TURN_MILLIS = 1_500L
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerMessages.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerMessages.kt
@@ -52,8 +52,12 @@
         return StoreReadResult.Listing(items, root.path("revision").longIn(NON_NEGATIVE) ?: 0)
     }
 
-    fun encodeLoan(workspace: String, tokens: Double): ByteArray =
-        mapper.writeValueAsBytes(mapper.createObjectNode().put("workspace", workspace).put("tokens", tokens))
+    /** Encodes a loan; [young] tells that the lender's share may not have accrued its tokens since its start. */
+    fun encodeLoan(workspace: String, tokens: Double, young: Boolean = false): ByteArray {
+        val root = mapper.createObjectNode().put("workspace", workspace).put("tokens", tokens)
+        if (young) root.put("young", true)
+        return mapper.writeValueAsBytes(root)
+    }
 
     fun loan(bytes: ByteArray): Pair<String, Double> {
         val root = mapper.readTree(bytes)
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Forwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Forwarder.kt
@@ -93,9 +93,10 @@
         val admission = context.admission
         val cost = context.cost
         val timeout = admission.route.objectiveMillis / QUOTA_WAIT_DIVISOR
-        val wait = admission.workspace?.let { pipeline.quota.charge(it, cost, timeout) }
-        if (wait != null) {
-            val failure = Outcome.Failure(ResultCode.RATE_EXCEEDED, retryAfterMillis = wait)
+        val refusal = admission.workspace?.let { pipeline.quota.charge(it, cost, timeout) }
+        if (refusal != null) {
+            val code = if (refusal.overLimit) ResultCode.RATE_EXCEEDED else ResultCode.RATE_NOT_KNOWN
+            val failure = Outcome.Failure(code, retryAfterMillis = refusal.retryAfterMillis)
             requestLog.ended(context, failure.code.label)
             return write(failure, context.metadata.requestId, response)
         }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/QuotaCharger.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/QuotaCharger.kt
@@ -3,30 +3,42 @@
 import fireflyhinge.forward.ForwardWorkspace
 import fireflyhinge.forward.QuotaShares
 import fireflyhinge.gateway.fleet.QuotaBorrower
+import fireflyhinge.gateway.fleet.QuotaMetrics
 import fireflyhinge.gateway.http.monotonicMillis
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import java.util.concurrent.ConcurrentHashMap
 
+/**
+ * Refusal of a request for want of tokens.
+ *
+ * @property retryAfterMillis time after which a retry may succeed.
+ * @property overLimit whether the workspace is known to be over its limit.
+ */
+internal data class QuotaRefusal(val retryAfterMillis: Long, val overLimit: Boolean)
+
 /** Charges requests to their workspace, from this VM's share or with tokens borrowed from other VMs. */
 internal class QuotaCharger(
     private val shares: QuotaShares,
     private val lender: QuotaBorrower,
     private val scope: CoroutineScope,
+    private val metrics: QuotaMetrics,
 ) {
+    /** Whether the last loan of a workspace was complete ([fireflyhinge.gateway.fleet.Loan]). */
+    private val complete = ConcurrentHashMap<String, Boolean>()
     private val nextBorrowMillis = ConcurrentHashMap<String, Long>()
     private val waiting = ConcurrentHashMap<String, Int>()
 
     /**
-     * Takes [tokens] of [workspace]. Returns null if granted, else the milliseconds after which a retry may succeed.
+     * Takes [tokens] of [workspace]. Returns null if granted.
      * Waits up to [timeoutMillis] for tokens, unless [MAX_WAITING] requests of the workspace wait already.
      */
-    suspend fun charge(workspace: ForwardWorkspace, tokens: Double, timeoutMillis: Long): Long? {
+    suspend fun charge(workspace: ForwardWorkspace, tokens: Double, timeoutMillis: Long): QuotaRefusal? {
         if (shares.take(workspace, tokens)) return null
         val name = workspace.name
         val ahead = waiting.getOrDefault(name, 0)
-        if (ahead >= MAX_WAITING) return shares.waitMillis(workspace, tokens)
+        if (ahead >= MAX_WAITING) return refusal(workspace, tokens)
         waiting.merge(name, 1, Int::plus)
         try {
             return borrowed(workspace, tokens, monotonicMillis() + timeoutMillis)
@@ -36,22 +48,36 @@
         }
     }
 
-    private suspend fun borrowed(workspace: ForwardWorkspace, tokens: Double, until: Long): Long? {
+    private suspend fun borrowed(workspace: ForwardWorkspace, tokens: Double, until: Long): QuotaRefusal? {
         while (true) {
             val now = monotonicMillis()
             if (now >= (nextBorrowMillis[workspace.name] ?: 0)) {
                 nextBorrowMillis[workspace.name] = now + BORROW_INTERVAL_MILLIS
-                shares.add(workspace, lender.borrow(workspace.name, shares.borrowAmount(workspace, tokens)))
+                val loan = lender.borrow(workspace.name, shares.borrowAmount(workspace, tokens))
+                shares.add(workspace, loan.tokens)
+                complete[workspace.name] = loan.complete && !shares.young
             }
             if (shares.take(workspace, tokens)) return null
-            if (monotonicMillis() + BORROW_INTERVAL_MILLIS > until) return shares.waitMillis(workspace, tokens)
+            if (monotonicMillis() + BORROW_INTERVAL_MILLIS > until) return refusal(workspace, tokens)
             delay(BORROW_INTERVAL_MILLIS)
         }
     }
 
+    private fun refusal(workspace: ForwardWorkspace, tokens: Double): QuotaRefusal {
+        val overLimit = complete[workspace.name] == true
+        metrics.refusal(workspace.name, overLimit)
+        return QuotaRefusal(shares.waitMillis(workspace, tokens), overLimit)
+    }
+
+    /** Accrues tokens and returns those of shares that this VM holds no longer; to be called several times a second. */
+    fun refresh(workspaces: Collection<ForwardWorkspace>) {
+        shares.refresh(workspaces)
+        workspaces.filter { waiting.getOrDefault(it.name, 0) == 0 }.forEach(::repay)
+    }
+
     /** Refunds [tokens] of a request that was sent to no replica. */
     fun refund(workspace: ForwardWorkspace, tokens: Double) {
-        shares.add(workspace, tokens)
+        shares.add(workspace, tokens, returned = true)
         repay(workspace)
     }
 
