Follow the store through a restore from a backup

Cause: a restored store reissues revisions. A copy with a higher revision rejected every list, so a key withdrawn after the restore kept working; between the 410 and the rejected list there was no pause; the entry of a VM was written once and never again.

Change: copies carry the era of the store (header Store-Era) beside the revision, locally and between VMs, and are ordered by era first. A response of a higher era starts a new list of each kind, one of a lower era is discarded. The state in force takes precedence over restored objects for 2.2 s (replicas, this system) or bounds.contactMs (operator): lost objects are retained, older or removed ones are held back until they are written again. Each VM writes its entry again within about a second, and evidence on crashes at once. Every useless call is followed by a random, growing pause. Two copies with other objects under one revision are listed again, or, at a VM that the store does not serve, the one confirmed later is used.

Changes to existing tests: stand-ins for the store in StoreMirrorTest and CopyExchangeTest have an era; no check was changed.

--- a/core/src/main/kotlin/fireflyhinge/forward/StoreObjectKind.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/StoreObjectKind.kt
@@ -1,9 +1,13 @@
 package fireflyhinge.forward
 
-/** Kinds of objects in the platform's store that VMs watch. */
-enum class StoreObjectKind {
+/**
+ * Kinds of objects in the platform's store that VMs watch.
+ *
+ * @property writtenByOperator whether the operator writes the objects; otherwise replicas or this system do.
+ */
+enum class StoreObjectKind(val writtenByOperator: Boolean = false) {
     /** The configuration. */
-    CONFIGURATION,
+    CONFIGURATION(writtenByOperator = true),
 
     /** The list of replicas. */
     REPLICAS,
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -10,6 +10,7 @@
 import fireflyhinge.forward.ReplicaSelector
 import fireflyhinge.forward.ReplicaTable
 import fireflyhinge.forward.RetryBudgetShares
+import fireflyhinge.forward.StoreEras
 import fireflyhinge.forward.StoreObjectCache
 import fireflyhinge.forward.StoreObjectKind
 import fireflyhinge.forward.StoreReadResult
@@ -21,9 +22,12 @@
 import fireflyhinge.gateway.fleet.EvidenceStore
 import fireflyhinge.gateway.fleet.FleetUpdates
 import fireflyhinge.gateway.fleet.Gossip
+import fireflyhinge.gateway.fleet.KnownEra
 import fireflyhinge.gateway.fleet.LoadBroadcaster
+import fireflyhinge.gateway.fleet.OwnEntry
 import fireflyhinge.gateway.fleet.PeerClient
 import fireflyhinge.gateway.fleet.PeerQuotaBorrower
+import fireflyhinge.gateway.fleet.StoreMetrics
 import fireflyhinge.gateway.fleet.StoreMirror
 import fireflyhinge.gateway.forward.CrashDetector
 import fireflyhinge.gateway.forward.CrashGuard
@@ -58,7 +62,9 @@
     private val domains = FailureDomains(settings.failureDomain, settings.regions)
     private val fleet = FleetView(record(settings))
     private val table = ReplicaTable()
-    private val store = protocols.store(StoreHttpClient(HttpClient(ConnectionPool(io)), settings.store))
+    private val era = KnownEra(StoreEras(settings.contactMillis))
+    private val store = protocols.store(StoreHttpClient(HttpClient(ConnectionPool(io)), settings.store, era))
+    private val ownEntry = OwnEntry(store, fleet)
     private val checker = CheckerSelector(fleet, domains)
     private val configMirror =
         StoreMirror(StoreObjectKind.CONFIGURATION, store, io.scope, checker::isSelf, ::applyConfig)
@@ -136,6 +142,7 @@
             evidenceBroadcaster.notifyNews()
             evidenceStore.notifyChange()
         }
+        StoreMetrics(registry, era, mirrors, ownEntry)
         (discovery + control + front).forEach { it.start() }
         io.scope.launch { discoverFleet() }
         mirrors.forEach { mirror -> io.scope.launch { mirror.run() } }
@@ -177,12 +184,17 @@
         log.atInfo().addKeyValue("open", front.inFlight).addKeyValue("millis", monotonicMillis() - began).log("stopped")
     }
 
-    /** Registers this VM and reads the list of other VMs; retries until the store has confirmed both. */
+    /**
+     * Registers this VM and reads the list of other VMs; retries until the store has confirmed both. Then keeps this
+     * VM's entry in the store.
+     */
     private suspend fun discoverFleet() {
         var found = false
+        var confirmedEra = 0L
         while (!found) {
             found =
                 retryUntilSuccess(log, "finding the fleet") {
+                    confirmedEra = era.value
                     val listing = store.list(StoreObjectKind.VMS) as? StoreReadResult.Listing
                     val listed = listing?.let { protocols.storeObjects.vms(it.items) }
                     listed?.let { fleet.merge(it) }
@@ -194,6 +206,7 @@
             if (!found) delay(REGISTER_PAUSE_MILLIS)
         }
         fleetListed = true
+        ownEntry.run(confirmedEra)
     }
 
     private fun ready(): Boolean = !front.draining && config != null && replicaMirror.revision > 0
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/GatewaySettings.kt
@@ -2,6 +2,7 @@
 
 import fireflyhinge.forward.QuotaBounds
 import fireflyhinge.forward.RetryBounds
+import fireflyhinge.forward.StoreEras
 import java.net.InetSocketAddress
 
 /**
@@ -17,6 +18,7 @@
  * @property store address of the platform's store.
  * @property firstStart whether the whole system is started for the first time.
  * @property stopMillis milliseconds from SIGTERM until the process is killed.
+ * @property contactMillis milliseconds after a restore of the store from which on the operator's objects are complete.
  */
 data class GatewaySettings(
     val vm: String,
@@ -31,4 +33,5 @@
     val stopMillis: Long,
     val quota: QuotaBounds = QuotaBounds(),
     val retries: RetryBounds = RetryBounds(),
+    val contactMillis: Long = StoreEras.DEFAULT_CONTACT_MILLIS,
 )
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CheckedWatch.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CheckedWatch.kt
@@ -21,21 +21,28 @@
     private val checksFirst: () -> Boolean,
 ) {
     /**
-     * Waits for changes after [revision]. Returns the first response with a change or the first failure, of the watch
-     * or of a check, or the response without a change that ends the watch.
+     * Waits for changes after [revision] of [era]. Returns the first response with a change or the first failure, of
+     * the watch or of a check, or the response without a change that ends the watch. Returns null if a higher era
+     * becomes known or [interruption] returns.
      */
-    suspend fun await(revision: Long): StoreReadResult =
+    suspend fun await(revision: Long, era: Long, interruption: suspend () -> Unit): StoreReadResult? =
         coroutineScope {
-            val reads = listOf(async { store.watch(kind, revision, WATCH_MILLIS) }, async { check(revision) })
+            val reads =
+                listOf(
+                    async { store.watch(kind, revision, WATCH_MILLIS) },
+                    async { check(revision, era) },
+                    async { store.era.awaitAbove(era).let { null } },
+                    async { interruption().let { null } },
+                )
             select { reads.forEach { read -> read.onAwait { it } } }.also { reads.forEach { it.cancel() } }
         }
 
     /** Asks the store for changes whenever neither it nor another VM has confirmed the copy for a while. */
-    private suspend fun check(revision: Long): StoreReadResult {
+    private suspend fun check(revision: Long, era: Long): StoreReadResult {
         while (true) {
             awaitDue()
             val answer = store.watch(kind, revision, CHECK_MILLIS)
-            if (answer !is StoreReadResult.Changes || !answer.isEmpty()) return answer
+            if (answer !is StoreReadResult.Changes || !answer.isEmpty() || answer.era != era) return answer
             freshness.confirm()
         }
     }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CopyVersionCodec.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CopyVersionCodec.kt
@@ -17,6 +17,11 @@
     fun encode(copies: Map<StoreObjectKind, CopyVersion>, root: ObjectNode) {
         val revisions = root.putObject("revisions")
         copies.forEach { (kind, copy) -> revisions.put(kind.name, copy.revision) }
+        val inEras = copies.filterValues { it.era > 0 }
+        if (inEras.isNotEmpty()) {
+            val eras = root.putObject("eras")
+            inEras.forEach { (kind, copy) -> eras.put(kind.name, copy.era) }
+        }
         val confirmed = copies.filterValues { it.digest.isNotEmpty() && it.ageMillis != null }
         if (confirmed.isEmpty()) return
         val list = root.putObject("confirmed")
@@ -32,6 +37,8 @@
                 revision = root.path("revisions").path(kind.name).longIn(REVISIONS) ?: 0,
                 digest = confirmed.path("digest").textOrNull().orEmpty(),
                 ageMillis = confirmed.path("age_ms").longIn(0..MAX_AGE_MILLIS),
+                // A build without eras does not send them.
+                era = root.path("eras").path(kind.name).longIn(REVISIONS) ?: 0,
             )
         }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/EvidenceStore.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/EvidenceStore.kt
@@ -46,7 +46,8 @@
     fun read(cache: StoreObjectCache) {
         val reports = cache.items().mapValues { decode(it.value) }
         reports.values.forEach(evidence::merge)
-        stored = reports.mapValues { newestAt(it.value) }
+        // An object that is only retained was lost and has to be written again.
+        stored = cache.listing().items.associate { it.name to newestAt(reports[it.name] ?: decode(it)) }
         notifyChange()
     }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerMessages.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerMessages.kt
@@ -39,6 +39,7 @@
 
     fun encode(listing: StoreReadResult.Listing): ByteArray {
         val root = mapper.createObjectNode().put("revision", listing.revision)
+        if (listing.era > 0) root.put("era", listing.era)
         val list = root.putArray("items")
         listing.items.forEach { item ->
             list.addObject().put("name", item.name).put("revision", item.revision).put("body", item.body)
@@ -49,7 +50,8 @@
     fun listing(bytes: ByteArray): StoreReadResult.Listing {
         val root = mapper.readTree(bytes)
         val items = root.path("items").mapNotNull(::item)
-        return StoreReadResult.Listing(items, root.path("revision").longIn(NON_NEGATIVE) ?: 0)
+        val era = root.path("era").longIn(NON_NEGATIVE) ?: 0
+        return StoreReadResult.Listing(items, root.path("revision").longIn(NON_NEGATIVE) ?: 0, era)
     }
 
     fun encodeLoan(workspace: String, tokens: Double): ByteArray =
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PlatformStore.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PlatformStore.kt
@@ -6,6 +6,9 @@
 
 /** Client of the platform's store. Every call is priced and counts against a rate limit. */
 interface PlatformStore {
+    /** The known era of the store, which every response states. */
+    val era: KnownEra
+
     /** All objects of [kind]. */
     suspend fun list(kind: StoreObjectKind): StoreReadResult
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
@@ -1,19 +1,17 @@
 package fireflyhinge.gateway.fleet
 
+import fireflyhinge.forward.CallBackoff
 import fireflyhinge.forward.CopyFreshness
 import fireflyhinge.forward.CopyVersion
 import fireflyhinge.forward.StoreObjectCache
 import fireflyhinge.forward.StoreObjectKind
 import fireflyhinge.forward.StoreOutage
 import fireflyhinge.forward.StoreReadResult
-import fireflyhinge.gateway.FAILURE_BACKOFF_MILLIS
 import fireflyhinge.gateway.http.monotonicMillis
 import fireflyhinge.gateway.repeatForever
-import fireflyhinge.gateway.retryUntilSuccess
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
 
@@ -27,100 +25,117 @@
 internal class StoreMirror(
     val kind: StoreObjectKind,
     private val store: PlatformStore,
-    private val scope: CoroutineScope,
+    scope: CoroutineScope,
     checksFirst: () -> Boolean = { true },
-    private val onChange: (StoreObjectCache) -> Unit,
+    onChange: (StoreObjectCache) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger(javaClass)
 
-    /** The copy. */
-    val state = StoreObjectCache()
+    /** The copy. A configuration has a version of its own, which never goes back. */
+    val state = StoreObjectCache(keepsContents = kind != StoreObjectKind.CONFIGURATION)
 
+    private val delivery = CopyDelivery(kind, state, scope, onChange)
     private val outage = StoreOutage(RECOVERY_MILLIS)
     private val freshness = CopyFreshness()
     private val watch = CheckedWatch(kind, store, freshness, checksFirst)
-
-    /** If larger than [revision]: a revision of another VM's copy that this copy has yet to reach. */
-    private var newerRevision = 0L
-    private var newerSince = 0L
+    private val comparison = CopyComparison(freshness)
+    private val backoff = CallBackoff()
+    private val useless = UselessCalls(backoff)
     private var listed = false
-    private var redelivery: Job? = null
+
+    /** Requests of a new listing because another VM has other objects under the same revision. */
+    private val conflicts = Channel<Unit>(Channel.CONFLATED)
+
+    /** All responses that were of no use. */
+    val uselessResponses: Long get() = useless.total
 
     /** Revision of the copy. */
     val revision: Long get() = state.revision
 
     /** State of the copy, for other VMs. */
-    val version: CopyVersion get() = CopyVersion(state.revision, state.digest, freshness.ageMillis)
+    val version: CopyVersion get() = CopyVersion(state.revision, state.digest, freshness.ageMillis, state.era)
 
     /** Watches the store until cancelled. */
     suspend fun run(): Nothing = repeatForever(log, "following $kind") { read() }
 
+    /** The next response of the store; null if the objects should be listed for another reason. */
+    private suspend fun nextAnswer(): StoreReadResult? {
+        if (listed && state.era < store.era.value) awaitListing("the store has another era")
+        if (listed && conflicts.tryReceive().isSuccess) awaitListing("another VM has other objects under one revision")
+        return when {
+            !listed -> store.list(kind)
+            // A watch that blocks does not show whether the store serves this VM again.
+            outage.failures > 0 -> store.watch(kind, state.revision, RECOVERY_WATCH_MILLIS)
+            // A request of a new listing stays pending.
+            else -> watch.await(state.revision, state.era) { conflicts.send(conflicts.receive()) }
+        }
+    }
+
     private suspend fun read() {
-        val answer =
-            when {
-                !listed -> store.list(kind)
-                // A watch that blocks does not show whether the store serves this VM again.
-                outage.failures > 0 -> store.watch(kind, state.revision, RECOVERY_WATCH_MILLIS)
-                else -> watch.await(state.revision)
-            }
-        if (answer !is StoreReadResult.Unavailable) recordRecovery()
+        val calledAt = monotonicMillis()
+        val answer = nextAnswer() ?: return
+        val served = answer !is StoreReadResult.Unavailable && answer !is StoreReadResult.Outdated
+        if (served && outage.answered()) log.atInfo().addKeyValue("kind", kind).log("the store answers again")
         when (answer) {
-            is StoreReadResult.Listing -> {
-                listed = true
-                freshness.confirm()
-                if (state.replace(answer.items, answer.revision, outage.retentionMillis())) changed("store list")
-            }
-            is StoreReadResult.Changes -> applyChanges(answer)
+            is StoreReadResult.Listing -> applyListing(answer)
+            is StoreReadResult.Changes -> applyChanges(answer, monotonicMillis() - calledAt)
             StoreReadResult.HistoryGone -> {
                 listed = false
                 log.atInfo().addKeyValue("kind", kind).log("no usable history in the store; listing all objects")
+                useless.pause()
+            }
+            is StoreReadResult.Outdated -> {
+                log.atInfo().addKeyValue("kind", kind).addKeyValue("reason", answer.reason)
+                    .log("discarded an outdated response of the store")
+                useless.pause()
             }
             is StoreReadResult.Unavailable -> recordOutage(answer.reason)
         }
     }
 
-    private suspend fun applyChanges(answer: StoreReadResult.Changes) {
-        freshness.confirm()
-        if (answer.isEmpty()) return
-        val keep = if (answer.removed.size >= MASS_REMOVAL) RECOVERY_MILLIS else outage.retentionMillis()
-        if (state.apply(answer, keep)) changed("store watch")
-        // Changes come in bursts; after a pause, the next watch returns several at once.
-        delay(BATCH_MILLIS)
-    }
-
-    private fun changed(source: String) {
-        log.atInfo().addKeyValue("kind", kind).addKeyValue("revision", state.revision).addKeyValue("source", source)
-            .addKeyValue("objects", state.items().size).log("copy changed")
-        deliver()
-        if (state.millisToNextEviction() != null) scope.launch { retryUntilSuccess(log, "settling $kind") { settle() } }
+    /** Lists the objects next. Many VMs have the same reason at the same time, so each waits for a random time. */
+    private suspend fun awaitListing(reason: String) {
+        listed = false
+        log.atInfo().addKeyValue("kind", kind).addKeyValue("era", store.era.value)
+            .addKeyValue("copy_era", state.era).addKeyValue("reason", reason).log("listing all objects")
+        delay(Random.nextLong(LISTING_SPREAD_MILLIS))
     }
 
-    /** Passes the copy to [onChange]. If that fails, it is retried even if the copy does not change again. */
-    @Suppress("TooGenericExceptionCaught") // The watch must continue whatever the callback throws.
-    private fun deliver() {
-        try {
-            onChange(state)
-        } catch (e: Throwable) {
-            log.atError().setCause(e).addKeyValue("kind", kind).log("the copy could not be used")
-            if (redelivery?.isActive == true) return
-            redelivery =
-                scope.launch {
-                    delay(FAILURE_BACKOFF_MILLIS)
-                    retryUntilSuccess(log, "using $kind") { onChange(state) }
-                }
+    private suspend fun applyListing(answer: StoreReadResult.Listing) {
+        if (answer.era < store.era.value) return useless.pause()
+        listed = true
+        if (replace(answer)) {
+            freshness.confirm()
+            delivery.changed("store list")
+        } else {
+            log.atInfo().addKeyValue("kind", kind).addKeyValue("revision", answer.revision)
+                .addKeyValue("held", state.revision).log("a list of the store is older than the copy; not used")
+            useless.pause()
         }
     }
 
-    /** Drops removed objects once their absence is confirmed. */
-    private suspend fun settle() {
-        while (true) {
-            delay(state.millisToNextEviction() ?: return)
-            if (state.evictExpired()) return changed("absence confirmed")
+    private fun replace(listing: StoreReadResult.Listing): Boolean =
+        state.replace(
+            listing.items,
+            listing.revision,
+            outage.retentionMillis(),
+            listing.era,
+            if (listing.era > state.era) store.era.precedenceMillis(kind) else 0,
+        )
+
+    private suspend fun applyChanges(answer: StoreReadResult.Changes, elapsedMillis: Long) {
+        if (answer.era != state.era) return useless.pause()
+        freshness.confirm()
+        if (answer.isEmpty()) {
+            // A watch that returns at once without a change would otherwise be repeated at once.
+            if (elapsedMillis < MIN_WATCH_MILLIS) useless.pause() else useless.reset()
+            return
         }
-    }
-
-    private fun recordRecovery() {
-        if (outage.answered()) log.atInfo().addKeyValue("kind", kind).log("the store answers again")
+        useless.reset()
+        val keep = if (answer.removed.size >= MASS_REMOVAL) RECOVERY_MILLIS else outage.retentionMillis()
+        if (state.apply(answer, keep)) delivery.changed("store watch")
+        // Changes come in bursts; after a pause, the next watch returns several at once.
+        delay(BATCH_MILLIS)
     }
 
     private suspend fun recordOutage(reason: String) {
@@ -128,9 +143,7 @@
             log.atWarn().addKeyValue("kind", kind).addKeyValue("reason", reason).log("the store is lost")
         }
         outage.failed()
-        val doublings = minOf(outage.failures - 1, MAX_BACKOFF_DOUBLINGS)
-        val backoff = minOf(FIRST_BACKOFF_MILLIS shl doublings, MAX_BACKOFF_MILLIS)
-        delay(backoff / 2 + Random.nextLong(backoff))
+        delay(backoff.millis(outage.failures))
     }
 
     /**
@@ -141,22 +154,17 @@
      * change has not come from it for a while.
      */
     fun compare(theirs: CopyVersion, callMillis: Long = 0): Boolean {
-        if (state.digest.isNotEmpty() && theirs.digest == state.digest) {
-            theirs.ageMillis?.let { freshness.confirm(it + callMillis) }
-            return false
-        }
-        if (theirs.revision <= state.revision) return false
-        if (newerRevision <= state.revision) {
-            newerRevision = theirs.revision
-            newerSince = monotonicMillis()
-        }
-        return outage.failures > 0 || state.revision == 0L || monotonicMillis() - newerSince > WATCH_LAG_MILLIS
+        store.era.observe(theirs.era, "another VM")
+        val action = comparison.compare(version, theirs, callMillis, cutOff = outage.failures > 0)
+        if (action == CopyAction.LIST) conflicts.trySend(Unit)
+        return action == CopyAction.FETCH
     }
 
-    /** Replaces this copy by the [listing] of [vm] if that is newer. */
+    /** Replaces this copy by the [listing] of [vm] if that is newer, or confirmed later if both have one version. */
     fun adopt(listing: StoreReadResult.Listing, vm: String) {
-        if (listing.revision <= state.revision) return
-        if (state.replace(listing.items, listing.revision, outage.retentionMillis())) changed("VM $vm")
+        store.era.observe(listing.era, vm)
+        if (!comparison.adopts(version, CopyVersion(listing.revision, era = listing.era))) return
+        if (replace(listing)) delivery.changed("VM $vm")
     }
 
     private companion object {
@@ -175,17 +183,10 @@
          */
         const val BATCH_MILLIS = 600L
 
-        /** Store watches deliver within milliseconds, gossip takes about a second. */
-        const val WATCH_LAG_MILLIS = 1_000L
+        /** Random delay of a listing that many VMs make for the same reason. */
+        const val LISTING_SPREAD_MILLIS = 300L
 
-        const val FIRST_BACKOFF_MILLIS = 200L
-        const val MAX_BACKOFF_DOUBLINGS = 3
-
-        /**
-         * 1.5 times this, [RECOVERY_WATCH_MILLIS] and [RECOVERY_MILLIS] together are less than the platform's
-         * `contactMs`: removals must take effect from 4 s after an outage. A call that a silent store lost may take 1 s
-         * more, which is within `drainMs`.
-         */
-        const val MAX_BACKOFF_MILLIS = 1_000L
+        /** A watch that waited for this long was not refused. */
+        const val MIN_WATCH_MILLIS = 50L
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/StoreHttpClient.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/StoreHttpClient.kt
@@ -1,11 +1,16 @@
 package fireflyhinge.gateway.http
 
+import fireflyhinge.gateway.fleet.KnownEra
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
 import java.io.IOException
 
-/** HTTP client of the platform's store at [address]. */
-class StoreHttpClient internal constructor(private val client: HttpClient, private val address: String) {
+/** HTTP client of the platform's store at [address], whose [era] its responses state. */
+class StoreHttpClient internal constructor(
+    private val client: HttpClient,
+    private val address: String,
+    val era: KnownEra = KnownEra(),
+) {
     /** Makes a call; throws [IOException] if no complete response arrives within [timeoutMillis]. */
     suspend fun call(method: String, path: String, body: ByteArray?, timeoutMillis: Long): BufferedResponse {
         val headers = DefaultHttpHeaders()
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/CopyExchangeTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/CopyExchangeTest.kt
@@ -30,6 +30,8 @@
     fun stop() = io.close()
 
     private inner class RefusingStore : PlatformStore {
+        override val era = KnownEra()
+
         override suspend fun list(kind: StoreObjectKind) = StoreReadResult.Unavailable("status 503")
 
         override suspend fun watch(kind: StoreObjectKind, revision: Long, waitMillis: Long) = awaitCancellation()
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
@@ -11,6 +11,7 @@
 import fireflyhinge.forward.TraitReport
 import fireflyhinge.forward.VmRecord
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Test
 
 class PeerMessagesTest {
@@ -104,6 +105,27 @@
         assertEquals(ages.map { CopyVersion(0, "a1") }, read)
     }
 
+    /** Guards against an era that is lost between VMs, and against builds without eras that seem newer. */
+    @Test
+    fun theEraOfACopyIsPassedOn() {
+        val copies =
+            StoreObjectKind.entries.associateWith { CopyVersion(4) } +
+                (StoreObjectKind.REPLICAS to CopyVersion(3, "a1", ageMillis = 9, era = 2))
+        val encoded = PeerMessages.encode(PeerStateMessage(emptyList(), copies))
+        assertEquals(copies, PeerMessages.exchange(encoded).copies)
+        val listing = StoreReadResult.Listing(listOf(StoreItem("a", 3, "{}")), 4, era = 2)
+        assertEquals(listing, PeerMessages.listing(PeerMessages.encode(listing)))
+        val odd = listOf("-1", "1e400", "\"2\"", "null", "{}", "9223372036854775808")
+        val eras =
+            odd.map { era ->
+                val text = """{"revisions":{"REPLICAS":9},"eras":{"REPLICAS":$era}}"""
+                PeerMessages.exchange(text.toByteArray()).copies.getValue(StoreObjectKind.REPLICAS).era
+            }
+        assertEquals(odd.map { 0L }, eras)
+        val old = PeerMessages.exchange("""{"revisions":{"REPLICAS":9}}""".toByteArray()).copies
+        assertFalse(old.getValue(StoreObjectKind.REPLICAS).newerThan(CopyVersion(3, era = 1)))
+    }
+
     /** Guards against a rename that reaches the messages between VMs of two versions. */
     @Test
     fun theNamesInMessagesStay() {
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/StoreMirrorTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/StoreMirrorTest.kt
@@ -30,6 +30,7 @@
 
     /** Gives its answers in order, and then none. */
     private inner class ScriptedStore(vararg answers: StoreReadResult) : PlatformStore {
+        override val era = KnownEra()
         private val left = ArrayDeque(answers.asList())
 
         private suspend fun next(): StoreReadResult {
@@ -160,6 +161,124 @@
         }
     }
 
+    private fun listing(era: Long, revision: Long, vararg names: String) =
+        StoreReadResult.Listing(names.map { StoreItem(it, revision, "{}") }, revision, era)
+
+    /** Answers lists and watches of its own, and counts them. */
+    private inner class CountingStore(
+        val lists: (Int) -> StoreReadResult,
+        val watches: suspend (Int) -> StoreReadResult,
+    ) : PlatformStore by ScriptedStore() {
+        override val era = KnownEra()
+        val calls = ConcurrentLinkedQueue<Long>()
+
+        override suspend fun list(kind: StoreObjectKind): StoreReadResult {
+            calls += monotonicMillis()
+            return lists(calls.size)
+        }
+
+        override suspend fun watch(kind: StoreObjectKind, revision: Long, waitMillis: Long): StoreReadResult {
+            calls += monotonicMillis()
+            return watches(calls.size)
+        }
+    }
+
+    /** Guards against calls without a pause, each of which is billed: 5,598 in 3 s were seen after a restore. */
+    @Test
+    fun uselessCallsAreRepeatedWithPauses() {
+        val cases =
+            mapOf<String, Pair<(Int) -> StoreReadResult, suspend (Int) -> StoreReadResult>>(
+                "no history, older list" to
+                    Pair({ if (it == 1) listing(9, "a") else listing(3, "a") }, { StoreReadResult.HistoryGone }),
+                "no history" to Pair({ listing(9, "a") }, { StoreReadResult.HistoryGone }),
+                "watch returns at once" to Pair({ listing(9, "a") }, { changes(9) }),
+                "outdated" to Pair({ StoreReadResult.Outdated("late") }, { StoreReadResult.Outdated("late") }),
+                "watch of another era" to
+                    Pair({ listing(9, "a") }, { StoreReadResult.Changes(emptyList(), setOf("a"), 9, era = 7) }),
+            )
+        val stores = cases.mapValues { CountingStore(it.value.first, it.value.second) }
+        stores.values.forEach { follow(it) }
+        Thread.sleep(3_000)
+        val counts = stores.mapValues { it.value.calls.size }
+        assertTrue(counts.values.all { it in 2..20 }) { "$counts" }
+    }
+
+    /** Guards against a watch that waits on although the store was restored. */
+    @Test
+    fun higherEraEndsTheWatch() {
+        val store = CountingStore({ if (it == 1) listing(1, 9, "a") else listing(2, 3, "b") }, { awaitCancellation() })
+        store.era.observe(1, "store")
+        follow(store)
+        assertEquals(setOf("a"), copy().second)
+        store.era.observe(2, "another VM")
+        assertEquals(setOf("a", "b"), copy().second)
+        val (_, settled) = copy()
+        assertEquals(setOf("b"), settled)
+    }
+
+    /** Guards against a late response of the store before its restore that replaces the state after it. */
+    @Test
+    fun listOfAnOlderEraIsDiscarded() {
+        val store = CountingStore({ if (it == 1) listing(1, 9, "a") else listing(2, 3, "b") }, { awaitCancellation() })
+        store.era.observe(2, "store")
+        follow(store)
+        assertEquals(setOf("b"), copy().second)
+    }
+
+    /** Guards against a VM that the store does not serve and that keeps the state before a restore. */
+    @Test
+    fun vmCutOffFromTheStoreAdoptsACopyOfAHigherEra() {
+        val store = CountingStore({ StoreReadResult.Unavailable("reset") }, { StoreReadResult.Unavailable("reset") })
+        val mirror = follow(store)
+        while (store.calls.isEmpty()) Thread.sleep(10)
+        Thread.sleep(100)
+        mirror.adopt(listing(1, 9, "a"), "vm-2")
+        assertEquals(setOf("a"), copy().second)
+        assertTrue(mirror.compare(CopyVersion(3, "x", era = 2)))
+        mirror.adopt(listing(2, 3, "b"), "vm-2")
+        assertEquals(setOf("a", "b"), copy().second)
+        mirror.adopt(listing(1, 20, "c"), "vm-3")
+        mirror.adopt(listing(20, "c"), "a build without eras")
+        assertEquals(CopyVersion(3, mirror.version.digest, mirror.version.ageMillis, era = 2), mirror.version)
+        assertEquals(false, mirror.compare(CopyVersion(99)))
+    }
+
+    /** Guards against VMs that keep different objects under one revision, and against a listing for each message. */
+    @Test
+    fun differentObjectsUnderOneRevisionAreListedAgain() {
+        val store = CountingStore({ if (it < 3) listing(2, 9, "a") else listing(2, 9, "b") }, { awaitCancellation() })
+        store.era.observe(2, "store")
+        val mirror = follow(store)
+        assertEquals(setOf("a"), copy().second)
+        Thread.sleep(100)
+        val before = store.calls.size
+        repeat(20) {
+            mirror.compare(CopyVersion(9, "other", ageMillis = 0, era = 2))
+            Thread.sleep(EXCHANGE_MILLIS)
+        }
+        assertEquals(setOf("b"), copy().second)
+        // The listing and the watch after it; checks beside the watch may add two in this time.
+        assertTrue(store.calls.size - before in 2..4) { "${store.calls.size - before} calls" }
+    }
+
+    /** Guards against a VM without the store that keeps the older of two copies of one revision, or swaps for ever. */
+    @Test
+    fun cutOffVmTakesTheCopyConfirmedLater() {
+        val store = CountingStore({ StoreReadResult.Unavailable("reset") }, { StoreReadResult.Unavailable("reset") })
+        val mirror = follow(store)
+        while (store.calls.isEmpty()) Thread.sleep(10)
+        Thread.sleep(100)
+        mirror.adopt(listing(2, 9, "a"), "vm-2")
+        copy()
+        assertEquals(false, mirror.compare(CopyVersion(9, "other", ageMillis = null, era = 2)))
+        mirror.adopt(listing(2, 9, "b"), "vm-3")
+        assertEquals(0, copies.size)
+        assertTrue(mirror.compare(CopyVersion(9, "other", ageMillis = 5, era = 2)))
+        mirror.adopt(listing(2, 9, "b"), "vm-3")
+        copy()
+        assertEquals(listOf("b"), mirror.state.listing().items.map { it.name })
+    }
+
     private companion object {
         /** Time within which changes must take effect (the platform's `configApplyMs`). */
         const val APPLY_MILLIS = 3_000L
