--- a/soak/src/main/kotlin/fireflyhinge/soak/FaultKind.kt
+++ b/soak/src/main/kotlin/fireflyhinge/soak/FaultKind.kt
@@ -8,6 +8,9 @@
     STORE_DOWN(false),
     STORE_SLOW(false),
     STORE_LINK(false),
+
+    /** A store that refuses calls and is then restored from a backup; its writers rewrite their objects after that. */
+    STORE_RESTORE(false),
     REPLICA_LINK(true),
     KEYS_CHANGE(true),
 
--- a/soak/src/main/kotlin/fireflyhinge/soak/Injector.kt
+++ b/soak/src/main/kotlin/fireflyhinge/soak/Injector.kt
@@ -15,7 +15,7 @@
     fun run(fault: Fault) {
         val touched =
             when (fault.kind) {
-                FaultKind.STORE_DOWN, FaultKind.STORE_SLOW -> site.gateways.indices.toList()
+                FaultKind.STORE_DOWN, FaultKind.STORE_SLOW, FaultKind.STORE_RESTORE -> site.gateways.indices.toList()
                 else -> listOf(fault.target % site.gateways.size)
             }
         if (!fault.kind.calm) touched.forEach(calm::begin)
@@ -38,6 +38,7 @@
             FaultKind.STORE_DOWN -> store(StoreMode.DOWN, fault.millis)
             FaultKind.STORE_SLOW -> store(StoreMode.SLOW, fault.millis)
             FaultKind.STORE_LINK -> link(site.storeLinks[gateway], fault)
+            FaultKind.STORE_RESTORE -> restoreStore(fault)
             FaultKind.REPLICA_LINK -> {
                 val index = fault.target % site.replicaLinks.size
                 troubles.during(site.replicas[index].id) { link(site.replicaLinks[index], fault) }
@@ -79,6 +80,19 @@
         site.store.mode = StoreMode.SOUND
     }
 
+    /** The backup is as old as the fault lasts. Faults of this kind follow one another, as restores do. */
+    private fun restoreStore(fault: Fault) =
+        synchronized(site.store) {
+            site.store.objects.takeBackup()
+            Thread.sleep(fault.millis)
+            store(StoreMode.DOWN, OUTAGE_MILLIS)
+            site.store.objects.restore()
+            Thread.sleep(Random(fault.at).nextLong(REWRITE_MILLIS))
+            site.store.objects.rewriteLost(setOf("config", "servers"))
+            // Gateways hold restored state back for a time that counts from when they learn of the restore.
+            Thread.sleep(Ledger.CONTACT_MILLIS)
+        }
+
     private fun link(link: Link, fault: Fault) {
         link.set(fault.mode)
         Thread.sleep(fault.millis)
@@ -105,5 +119,11 @@
     companion object {
         /** For so long after SIGTERM a gateway must answer requests on open connections. */
         const val STOPPING_MILLIS = 2_000L
+
+        /** Time for which a store that is restored refuses calls. */
+        private const val OUTAGE_MILLIS = 300L
+
+        /** Time within which writers write their objects again after a restore. */
+        private const val REWRITE_MILLIS = 2_000L
     }
 }
