Bound what a VM holds for callers and replicas that read slowly

Cause: responses that were queued for callers counted nowhere, and a caller that did not read a plain response was kept forever. 300 callers that did not read responses of 4 MiB took all of a process's direct memory: "Cannot reserve 4194304 bytes of direct buffer memory (allocated:, limit:)"; 272 connections were still open long after the idle limit. Request bodies were counted, but their buffers took up to three times the bytes.

Change: HeldMemory counts request bodies, buffered responses, bytes read from replicas and not passed on, and bytes queued for callers. SlowReaderPolicy decides from the heap's size: new requests are refused first (503 with Retry-After), then callers that have not read for longest are aborted. A stream is read ahead up to 384 KB, so that its replica does not wait for the caller; a response that is queued to its end is no longer cut by the time limit. A failed write to a caller that left no longer counts against the replica. Metrics and log lines for held bytes, refusals and aborts.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -6,6 +6,7 @@
 import fireflyhinge.forward.FleetView
 import fireflyhinge.forward.ForwardConfig
 import fireflyhinge.forward.GatewayAddressSelector
+import fireflyhinge.forward.HeldBytesLimits
 import fireflyhinge.forward.QuotaShares
 import fireflyhinge.forward.ReplicaSelector
 import fireflyhinge.forward.ReplicaTable
@@ -39,6 +40,7 @@
 import fireflyhinge.gateway.forward.ReservationClient
 import fireflyhinge.gateway.forward.StreamForwarder
 import fireflyhinge.gateway.http.ConnectionPool
+import fireflyhinge.gateway.http.HeldMemory
 import fireflyhinge.gateway.http.HttpClient
 import fireflyhinge.gateway.http.HttpListener
 import fireflyhinge.gateway.http.IoLoop
@@ -51,14 +53,19 @@
 import org.slf4j.LoggerFactory
 
 /** One gateway process: wires its components, starts them, and stops without interrupting requests. */
-class Gateway(settings: GatewaySettings, private val protocols: GatewayProtocols) {
+class Gateway(
+    settings: GatewaySettings,
+    private val protocols: GatewayProtocols,
+    heldLimits: HeldBytesLimits = HeldBytesLimits.of(Runtime.getRuntime().maxMemory()),
+) {
     private val log = LoggerFactory.getLogger(javaClass)
     private val io = IoLoop()
     private val registry = PrometheusRegistry()
+    private val held = HeldMemory(io.loop, heldLimits, registry)
     private val domains = FailureDomains(settings.failureDomain, settings.regions)
     private val fleet = FleetView(record(settings))
     private val table = ReplicaTable()
-    private val store = protocols.store(StoreHttpClient(HttpClient(ConnectionPool(io)), settings.store))
+    private val store = protocols.store(StoreHttpClient(HttpClient(ConnectionPool(io, held = held)), settings.store))
     private val checker = CheckerSelector(fleet, domains)
     private val configMirror =
         StoreMirror(StoreObjectKind.CONFIGURATION, store, io.scope, checker::isSelf, ::applyConfig)
@@ -68,7 +75,8 @@
     private val evidenceMirror =
         StoreMirror(StoreObjectKind.CRASHES, store, io.scope, checker::isSelf, evidenceStore::read)
     private val mirrors = listOf(configMirror, replicaMirror, evidenceMirror)
-    private val peers = PeerClient(HttpClient(ConnectionPool(io, defaultIdleLimitMillis = PEER_IDLE_MILLIS)))
+    private val peerPool = ConnectionPool(io, defaultIdleLimitMillis = PEER_IDLE_MILLIS, held = held)
+    private val peers = PeerClient(HttpClient(peerPool))
     private val updates = FleetUpdates(fleet, table, ::ready)
     private val copies = CopyExchange(mirrors, peers, io.scope, checker::other)
     private val gossip = Gossip(domains, peers, copies, { this.settings.seeds }, updates, evidence)
@@ -80,7 +88,7 @@
             if (fleetKnown()) fleet.quotaMembers().size else maxOf(fleet.quotaMembers().size, ASSUMED_VMS)
         }
     private val routing = ReplicaRouting(table, ReplicaSelector(table, domains, ::memoryOf), retries)
-    private val replicaPool = ConnectionPool(io)
+    private val replicaPool = ConnectionPool(io, held = held)
     private val notices = ReplicaNotices(registry)
     private val crashes = CrashDetector(replicaPool, io.scope, evidence, registry)
     private val sender = ReplicaSender(replicaPool, protocols.replicas, notices)
@@ -112,12 +120,14 @@
             requestLog = RequestLog(registry),
             stop = plannedStop,
         )
-    private val front = HttpListener(io, settings.front, { config?.limits ?: CallerLimits() }, forwarder)
+    private val front =
+        HttpListener(io, settings.front, { config?.limits ?: CallerLimits() }, forwarder, held, refusesEarly = true)
     private val control =
         HttpListener(
             io,
             settings.control,
             handler = ControlHandler(gossip, mirrors, copies, shares, evidence) { config },
+            memory = held,
         )
     private val discovery =
         DiscoveryHandler(
@@ -126,7 +136,7 @@
             ::ready,
             registry,
         ).let { handler ->
-            settings.discovery.map { HttpListener(io, it, handler = handler) }
+            settings.discovery.map { HttpListener(io, it, handler = handler, memory = held) }
         }
 
     /** Opens the ports and starts to watch the store and to gossip with other VMs. */
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Forwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/Forwarder.kt
@@ -8,6 +8,7 @@
 import fireflyhinge.gateway.http.ErrorResponse
 import fireflyhinge.gateway.http.RequestHandler
 import fireflyhinge.gateway.http.ResponseWriter
+import fireflyhinge.gateway.http.SlowCallerException
 import fireflyhinge.result.Outcome
 import fireflyhinge.result.ResultCode
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -34,7 +35,7 @@
         try {
             admit(request, progress, response)
         } catch (e: CancellationException) {
-            cancelled(progress.context, response)
+            cancelled(progress.context, e, response)
             throw e
         } catch (e: IOException) {
             throw e
@@ -44,9 +45,10 @@
     }
 
     /** Ends a request that was cancelled: its caller left, or the VM stops and the request still gets a response. */
-    private suspend fun cancelled(context: RequestContext?, response: ResponseWriter) {
+    private suspend fun cancelled(context: RequestContext?, cause: CancellationException, response: ResponseWriter) {
         if (context == null) return
-        if (!stop.ended) return requestLog.ended(context, "caller left")
+        val outcome = if (cause is SlowCallerException) "broken off: caller does not read" else "caller left"
+        if (!stop.ended || cause is SlowCallerException) return requestLog.ended(context, outcome)
         withContext(NonCancellable) { endEarly(context, "the VM stops", FailureMapper.stopped(context), response) }
     }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/CallerConnection.kt
@@ -24,12 +24,13 @@
     handler: RequestHandler,
     private val memory: MemoryLimit,
 ) : SimpleChannelInboundHandler<HttpObject>() {
-    private val incoming = IncomingRequest({ listener.limits }, memory)
+    private val incoming = IncomingRequest({ listener.limits }, memory, listener::acceptRequest)
     private val dispatcher = RequestDispatcher(handler)
 
     /** Sees bytes before they are decoded; must precede the decoder in the pipeline. */
     val partialHead = PartialHeadTracker()
-    private val expectContinue = ExpectContinue(channel)
+    private val output = CallerOutput(channel, memory.held)
+    private val expectContinue = ExpectContinue(output)
     private val pipelined = ArrayDeque<Pair<CallerRequest, Boolean>>()
 
     /** The most recent request; its handler may still write a response if it is cancelled. */
@@ -48,7 +49,10 @@
     private var responding = false
 
     /** Whether a request is arriving or being handled; may still be true after a response was written completely. */
-    val busy: Boolean get() = responding || incoming.since != null || partialHead.since != null
+    private val serving: Boolean get() = responding || incoming.since != null || partialHead.since != null
+
+    /** Whether a request is arriving or being handled, or the caller has not taken its response yet. */
+    val busy: Boolean get() = serving || output.pending
 
     override fun channelRead0(ctx: ChannelHandlerContext, message: HttpObject) {
         if (closing) return
@@ -70,8 +74,9 @@
         val (request, keepAlive) = pipelined.removeFirstOrNull() ?: return
         channel.config().isAutoRead = true
         val writer =
-            ChannelResponseWriter(channel, keepAlive = { keepAlive && !(listener.draining && pipelined.isEmpty()) })
+            ChannelResponseWriter(channel, output) { keepAlive && !(listener.draining && pipelined.isEmpty()) }
         responding = true
+        output.uri = request.uri
         job =
             io.scope.launch(start = CoroutineStart.UNDISPATCHED) {
                 try {
@@ -93,7 +98,7 @@
             !writer.keptAlive -> closeGracefully()
             pipelined.isNotEmpty() -> handleNext()
             code != null -> writeRejection(code)
-            closing || !listener.accepting && !busy -> closeGracefully()
+            closing || !listener.accepting && !serving -> closeGracefully()
             else -> expectContinue.sendIfPending()
         }
     }
@@ -102,7 +107,7 @@
         incoming.discard()
         pipelined.forEach { memory.release(it.first.body.size) }
         pipelined.clear()
-        job?.cancel()
+        job?.cancel(if (output.aborted) SlowCallerException() else null)
     }
 
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
@@ -124,32 +129,37 @@
     }
 
     private fun writeRejection(code: ResultCode) {
-        val response = ErrorResponse.of(code, detail = "", requestId = null).closing(code.httpStatus)
-        channel.writeAndFlush(response).addListener(ChannelFutureListener { closeGracefully() })
+        val retryAfter = REFUSED_RETRY_AFTER_MILLIS.takeIf { code == ResultCode.CAPACITY_EXHAUSTED }
+        val error = ErrorResponse.of(code, detail = "", requestId = null, retryAfterMillis = retryAfter)
+        output.write(error.closing(code.httpStatus), 0).addListener(ChannelFutureListener { closeGracefully() })
     }
 
     /** Ends the sending side and lets the caller close, since closing with unread bytes would reset the connection. */
     private fun closeGracefully() {
         closing = true
-        (channel as? SocketChannel)?.shutdownOutput()
-        channel.eventLoop().schedule({ channel.close() }, LINGER_MILLIS, TimeUnit.MILLISECONDS)
+        output.whenDrained {
+            (channel as? SocketChannel)?.shutdownOutput()
+            channel.eventLoop().schedule({ channel.close() }, LINGER_MILLIS, TimeUnit.MILLISECONDS)
+        }
     }
 
     /** Closes the connection if no request is arriving or being handled on it. */
     fun closeIfIdle() {
-        if (!busy) closeGracefully()
+        if (!serving) closeGracefully()
     }
 
     /** Closes the connection if it was idle for too long; rejects a request that takes too long to arrive. */
     fun checkTimeouts(limits: CallerLimits) {
         val bodySince = incoming.since
+        val idleMillis = monotonicMillis() - maxOf(idleSince, output.progressMillis)
         val headSince = partialHead.since.takeIf { bodySince == null }
         when {
+            output.stalledMillis > limits.idleMillis * STALLED_IDLE_FACTOR -> output.abort("time")
             closing -> Unit
             headSince != null && monotonicMillis() - headSince > limits.headerMillis ->
                 reject(ResultCode.HEADER_TIMEOUT)
             bodySince != null && monotonicMillis() - bodySince > BODY_TIMEOUT_MILLIS -> reject(ResultCode.BODY_TIMEOUT)
-            !busy && monotonicMillis() - idleSince > maxOf(idleLimitMillis, limits.idleMillis) -> closeGracefully()
+            !busy && idleMillis > maxOf(idleLimitMillis, limits.idleMillis) -> closeGracefully()
         }
     }
 
@@ -159,6 +169,12 @@
         /** Requests that are read ahead on one connection. */
         const val MAX_PIPELINED = 8
 
+        /** A caller that takes nothing is aborted after the idle limit times this; 30 s by default. */
+        const val STALLED_IDLE_FACTOR = 2
+
+        /** Time until some of the callers that do not read have been aborted; other VMs take the request at once. */
+        const val REFUSED_RETRY_AFTER_MILLIS = 500L
+
         /** Time for a caller to close its side. */
         const val LINGER_MILLIS = 1_000L
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/ChannelResponseWriter.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/ChannelResponseWriter.kt
@@ -10,11 +10,15 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import kotlinx.coroutines.yield
 import java.io.IOException
 
 /** Writes one response to [channel]. [keepAlive] tells whether the connection may stay open after it. */
-internal class ChannelResponseWriter(private val channel: Channel, private val keepAlive: () -> Boolean) :
-    ResponseWriter {
+internal class ChannelResponseWriter(
+    private val channel: Channel,
+    private val output: CallerOutput = CallerOutput(channel, HeldMemory(channel.eventLoop())),
+    private val keepAlive: () -> Boolean,
+) : ResponseWriter {
     override var started = false
         private set
 
@@ -32,7 +36,14 @@
         val response = fullResponse(status, headers, body)
         setConnectionHeader(response.headers())
         started = true
-        awaitEnd(channel.writeAndFlush(response))
+        if (body.size <= PIECE_BYTES) return awaitEnd(output.write(response, body.size))
+        output.write(DefaultHttpResponse(response.protocolVersion(), response.status(), response.headers()), 0)
+        for (from in body.indices step PIECE_BYTES) {
+            val length = minOf(PIECE_BYTES, body.size - from)
+            output.write(DefaultHttpContent(Unpooled.wrappedBuffer(body, from, length)), 0)
+        }
+        // Counts until all pieces are written, since each of them keeps the whole array.
+        awaitEnd(output.write(LastHttpContent.EMPTY_LAST_CONTENT, body.size))
     }
 
     override suspend fun start(status: Int, headers: HttpHeaders) {
@@ -40,16 +51,16 @@
         response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, "chunked")
         setConnectionHeader(response.headers())
         started = true
-        channel.writeAndFlush(response)
+        output.write(response, 0)
     }
 
     override suspend fun write(bytes: ByteArray) {
-        val written = channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
-        if (!channel.isWritable) written.awaitCompletion()
+        output.append(bytes)
+        output.awaitRoom()
     }
 
     override suspend fun finish() {
-        awaitEnd(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
+        awaitEnd(output.write(LastHttpContent.EMPTY_LAST_CONTENT, 0))
     }
 
     /** Completes the response before [last] is confirmed: the caller may have the last bytes by now. */
@@ -59,6 +70,7 @@
             last.awaitCompletion()
         } catch (e: IOException) {
             complete = false
+            if (!channel.isActive) repeat(CLOSE_STEPS) { yield() }
             throw e
         }
     }
@@ -71,4 +83,15 @@
         keptAlive = keepAlive()
         if (!keptAlive) headers.set(HttpHeaderNames.CONNECTION, "close")
     }
+
+    private companion object {
+        /** Bytes of a body that are written at a time: a caller that takes part of it is not seen as stalled. */
+        const val PIECE_BYTES = 32 * 1024
+
+        /**
+         * Tasks of the event loop from the failure of the last write to the cancellation of the request, if the caller
+         * has left. Otherwise the failure would be taken for one of the replica.
+         */
+        const val CLOSE_STEPS = 2
+    }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
@@ -9,13 +9,13 @@
 import java.net.ConnectException
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicLong
 
 /** Pool of connections to servers, which are opened on demand and reused. Thread-safe. */
 internal class ConnectionPool(
     private val io: IoLoop,
     private val connectTimeoutMillis: Int = CONNECT_TIMEOUT_MILLIS,
     private val defaultIdleLimitMillis: Long = OutboundConnection.DEFAULT_IDLE_LIMIT_MILLIS,
+    held: HeldMemory = HeldMemory(io.loop),
 ) {
     private class Server {
         val idle = ArrayDeque<OutboundConnection>()
@@ -26,7 +26,7 @@
         }
     }
 
-    private val memory = MemoryLimit(AtomicLong(), MAX_BUFFERED_BYTES)
+    private val memory = MemoryLimit(held, held.limits.largeResponses)
     private val servers = ConcurrentHashMap<String, Server>()
 
     /**
@@ -118,9 +118,6 @@
     private companion object {
         /** Ten round trips between regions, so that an unresponsive server costs a request a third of its objective. */
         const val CONNECT_TIMEOUT_MILLIS = 350
-
-        /** Bytes of all responses that are being buffered; an eighth of the smallest VM's heap. */
-        const val MAX_BUFFERED_BYTES = 14L * 1024 * 1024
     }
 }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/ExpectContinue.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/ExpectContinue.kt
@@ -1,6 +1,5 @@
 package fireflyhinge.gateway.http
 
-import io.netty.channel.Channel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
@@ -8,8 +7,8 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 
-/** Handles `Expect: 100-continue` on [channel]: the caller sends the body only after a 100 response. */
-internal class ExpectContinue(private val channel: Channel) {
+/** Handles `Expect: 100-continue` for the caller of [output]: the caller sends the body only after a 100 response. */
+internal class ExpectContinue(private val output: CallerOutput) {
     private var pending = false
 
     /** Must be called for each part of a request that arrives. */
@@ -21,7 +20,7 @@
     fun sendIfPending() {
         if (!pending) return
         pending = false
-        channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+        output.write(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE), 0)
     }
 
     /** Must be called when the request is complete. */
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpListener.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpListener.kt
@@ -13,24 +13,34 @@
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.AtomicLong
 
-/** Listens on a port and serves the requests that arrive there. */
+/**
+ * Listens on a port and serves the requests that arrive there.
+ *
+ * @param refusesEarly whether requests are refused while [memory] is left only for those that are being handled;
+ * otherwise, only bodies for which there is no memory are.
+ */
 class HttpListener(
     private val io: IoLoop,
     private val address: InetSocketAddress,
     limits: () -> CallerLimits = { CallerLimits() },
     private val handler: RequestHandler,
+    private val memory: HeldMemory = HeldMemory(io.loop),
+    refusesEarly: Boolean = false,
 ) {
+    private val accept: () -> Boolean = { !refusesEarly || memory.acceptRequest() }
     private val state =
         object : ListenerState {
             override val limits get() = limits()
             override val draining get() = this@HttpListener.draining
             override val accepting get() = this@HttpListener.accepting
+
+            override fun acceptRequest() = accept()
         }
 
     private val connections = ConcurrentHashMap.newKeySet<CallerConnection>()
-    private val bufferedBytes = AtomicLong()
+    private val bodies =
+        MemoryLimit(memory, memory.limits.refuseAt, memory.limits.run { if (refusesEarly) refuseAt else total })
     private var server: Channel? = null
 
     /** Set while the process stops: responses then announce that their connection is closed. */
@@ -58,6 +68,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 .childHandler(Pipeline())
                 .bind(address)
                 .sync()
@@ -86,6 +97,7 @@
         try {
             val limits = state.limits
             connections.forEach { it.checkTimeouts(limits) }
+            memory.relieve()
         } catch (e: Throwable) {
             log.atError().setCause(e).log("failed to check the timeouts of caller connections")
         }
@@ -96,8 +108,7 @@
             val maxHeaderBytes = maxOf(state.limits.headerBytes, MIN_DECODER_HEADER_BYTES)
             val config =
                 HttpDecoderConfig().setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES).setMaxHeaderSize(maxHeaderBytes)
-            val memory = MemoryLimit(bufferedBytes, MAX_BUFFERED_BYTES)
-            val connection = CallerConnection(io, channel, state, handler, memory)
+            val connection = CallerConnection(io, channel, state, handler, bodies)
             connections += connection
             channel.closeFuture().addListener { connections -= connection }
             channel.pipeline().addLast(connection.partialHead, HttpServerCodec(config), connection)
@@ -115,7 +126,10 @@
         /** Four times the default limit, so that the limit can be raised for open connections. */
         const val MIN_DECODER_HEADER_BYTES = 65_536
 
-        /** Bytes of all request bodies that are being read or handled; a third of the smallest VM's heap. */
-        const val MAX_BUFFERED_BYTES = 40L * 1024 * 1024
+        /**
+         * Bytes that the kernel holds for a caller that does not read, in addition to those that count. Without it, the
+         * kernel takes up to 4 MB, and a VM cannot tell whether the caller reads.
+         */
+        const val SEND_BUFFER_BYTES = 64 * 1024
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/IncomingRequest.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/IncomingRequest.kt
@@ -9,12 +9,15 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
-import java.io.ByteArrayOutputStream
 
 /** The request that is being read from a connection. Its body counts against [memory] until it is released. */
-internal class IncomingRequest(private val limits: () -> CallerLimits, private val memory: MemoryLimit) {
+internal class IncomingRequest(
+    private val limits: () -> CallerLimits,
+    private val memory: MemoryLimit,
+    private val accept: () -> Boolean,
+) {
     private var head: HttpRequest? = null
-    private var body = ByteArrayOutputStream()
+    private val body = BodyBuffer()
     private var complete = false
 
     /** Monotonic milliseconds at which the head was read, or null between requests. */
@@ -43,7 +46,7 @@
 
     /** Discards what was read and releases its memory. */
     fun discard() {
-        memory.release(body.size())
+        memory.release(body.size)
         clear()
     }
 
@@ -51,7 +54,7 @@
         head = null
         since = null
         complete = false
-        body = ByteArrayOutputStream()
+        body.clear()
     }
 
     private fun begin(message: HttpRequest): ResultCode? {
@@ -66,6 +69,7 @@
             sizeOf(headers) > limits().headerBytes -> ResultCode.HEADERS_TOO_LARGE
             ambiguous || encoded && !HttpUtil.isTransferEncodingChunked(message) -> ResultCode.MALFORMED_REQUEST
             length > limits().bodyBytes -> ResultCode.BODY_TOO_LARGE
+            !accept() -> ResultCode.CAPACITY_EXHAUSTED
             else -> null
         }
     }
@@ -75,9 +79,12 @@
 
     private fun addContent(content: HttpContent): ResultCode? {
         val bytes = ByteArray(content.content().readableBytes()).also { content.content().readBytes(it) }
-        if (body.size() + bytes.size > limits().bodyBytes) return ResultCode.BODY_TOO_LARGE
-        if (!memory.tryReserve(bytes.size)) return ResultCode.CAPACITY_EXHAUSTED
-        body.writeBytes(bytes)
+        if (body.size + bytes.size > limits().bodyBytes) return ResultCode.BODY_TOO_LARGE
+        if (!memory.tryReserve(bytes.size)) {
+            memory.held.log.recordDecision(accepted = false)
+            return ResultCode.CAPACITY_EXHAUSTED
+        }
+        body.add(bytes)
         complete = content is LastHttpContent
         return null
     }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/ListenerState.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/ListenerState.kt
@@ -12,4 +12,7 @@
 
     /** Whether the port is open; otherwise connections close as soon as they are idle. */
     val accepting: Boolean
+
+    /** Whether there is memory for a request whose head was read. */
+    fun acceptRequest(): Boolean
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
@@ -15,7 +15,6 @@
 import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.channels.ClosedReceiveChannelException
 import org.slf4j.LoggerFactory
-import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 import kotlinx.coroutines.channels.Channel as Queue
@@ -40,7 +39,7 @@
 
     private val decoder = channel.pipeline().get(ResponseDecoder::class.java)
     private val inbox = Queue<Part>(Queue.UNLIMITED)
-    private var queuedBytes = 0
+    private val queued = HeldShare(memory.held)
     private var matcher: ResponseMatcher = ResponseMatcher.AcceptAll
     private var method = HttpMethod.GET
     private var pendingRequestId: String? = null
@@ -102,35 +101,38 @@
      */
     suspend fun readChunk(): ByteArray? =
         when (val part = nextPart()) {
-            is Part.Body -> part.bytes.also { addQueued(-it.size) }
+            is Part.Body -> part.bytes.also { addQueued(-it.size - PART_BYTES) }
             Part.End -> null
             is Part.Head -> throw IOException("an answer began inside another one")
         }
 
     /** Reads the whole response body. Throws [IOException] if it is truncated or too large to buffer. */
     suspend fun readBody(): ByteArray {
-        val body = ByteArrayOutputStream()
+        val body = BodyBuffer()
+        val unreserved = HeldShare(memory.held)
         var reserved = 0
         try {
             while (true) {
                 val bytes = readChunk() ?: return body.toByteArray()
-                if (body.size() + bytes.size > MAX_BODY_BYTES) {
+                if (body.size + bytes.size > MAX_BODY_BYTES) {
                     throw IOException("the answer has over $MAX_BODY_BYTES bytes")
                 }
-                body.writeBytes(bytes)
-                val more = maxOf(0, body.size() - UNRESERVED_BODY_BYTES) - reserved
+                body.add(bytes)
+                unreserved.add(minOf(body.size, UNRESERVED_BODY_BYTES) - unreserved.bytes)
+                val more = maxOf(0, body.size - UNRESERVED_BODY_BYTES) - reserved
                 if (!memory.tryReserve(more)) throw IOException("no memory is left for answers of servers")
                 reserved += more
             }
         } finally {
             memory.release(reserved)
+            unreserved.close()
         }
     }
 
     /** Applies backpressure: pauses reading while a server sends faster than its response is consumed. */
     private fun addQueued(bytes: Int) {
-        queuedBytes += bytes
-        channel.config().isAutoRead = queuedBytes < MAX_QUEUED_BYTES
+        queued.add(bytes)
+        channel.config().isAutoRead = queued.bytes < MAX_QUEUED_BYTES
     }
 
     /** Ends the use of the connection after a complete response. Returns whether it can be reused. */
@@ -148,6 +150,7 @@
      */
     fun close() {
         inbox.close(IOException("the connection was closed by this VM"))
+        queued.close()
         channel.close()
     }
 
@@ -212,7 +215,7 @@
         private fun handleContent(message: HttpContent) {
             val size = message.content().readableBytes()
             if (size > 0) {
-                addQueued(size)
+                addQueued(size + PART_BYTES)
                 inbox.trySend(Part.Body(ByteArray(size).also { message.content().readBytes(it) }))
             }
             if (message is LastHttpContent) {
@@ -261,6 +264,9 @@
         /** Received bytes that were not consumed yet; a few hundred events. */
         private const val MAX_QUEUED_BYTES = 128 * 1024
 
+        /** Bytes of a queued part in addition to its content; an estimate. */
+        private const val PART_BYTES = 64
+
         /** A request takes up to a round trip between regions to arrive; servers state whole seconds. */
         private const val IDLE_MARGIN_MILLIS = 500L
 
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/http/ChannelResponseWriterTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/http/ChannelResponseWriterTest.kt
@@ -1,5 +1,6 @@
 package fireflyhinge.gateway.http
 
+import fireflyhinge.forward.HeldBytesLimits
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelOutboundHandlerAdapter
 import io.netty.channel.ChannelPromise
@@ -11,6 +12,7 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.io.IOException
 
@@ -53,6 +55,24 @@
         }
     }
 
+    /** Guards against a replica that is kept waiting, and cuts its stream, because the caller reads slowly. */
+    @Test
+    fun theLongestStreamIsQueuedForACallerThatDoesNotRead() {
+        val channel = EmbeddedChannel(LateCompletion())
+        val held = HeldMemory(channel.eventLoop(), HeldBytesLimits.of(110L shl 20))
+        val writer = ChannelResponseWriter(channel, CallerOutput(channel, held)) { true }
+        var written = 0
+        start {
+            writer.start(OK, DefaultHttpHeaders())
+            repeat(20_000) { writer.write(ByteArray(EVENT_BYTES)).also { written += EVENT_BYTES } }
+        }
+        assertTrue(written > 312_000 && written <= held.limits.perCaller) { "$written bytes" }
+        assertTrue(held.bytes in written..written + written / 8) { "${held.bytes} bytes are counted" }
+        channel.close()
+        channel.runPendingTasks()
+        assertTrue(held.bytes < 2 * CallerOutput.BLOCK_BYTES) { "${held.bytes} bytes" }
+    }
+
     /** Guards against a request without a response because a response that could not be written counts as complete. */
     @Test
     fun failedWriteDoesNotCompleteTheResponse() {
@@ -72,5 +92,6 @@
 
     private companion object {
         const val OK = 200
+        const val EVENT_BYTES = 100
     }
 }
