Choose warm replicas before cold ones, and cold ones only with budget

Replicas of a service whose configuration bounds the requests to cold ones (coldPerSecond) are cold as long as their entry, their start or a response says, or for the time of a start after their failure domain is marked. The selector leaves out cold replicas without budget and gives the others, and those that started within five seconds, a cost. No decode replica is chosen whose prefill replicas are all cold and without budget, so that prompts do not stall it.

--- a/core/src/main/kotlin/fireflyhinge/forward/Replica.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/Replica.kt
@@ -8,6 +8,7 @@
  * @property slots number of requests that it runs concurrently.
  * @property leaving whether it is draining and must receive no new requests.
  * @property startedAt Unix milliseconds of its start, or 0 if unknown.
+ * @property coldLeftMillis milliseconds for which it is cold, as of the write of the entry, or null if not stated.
  */
 data class Replica(
     val id: String,
@@ -18,4 +19,5 @@
     val slots: Int,
     val leaving: Boolean = false,
     val startedAt: Long = 0,
+    val coldLeftMillis: Long? = null,
 )
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaSelector.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaSelector.kt
@@ -6,12 +6,14 @@
  * Selects the replica for a request by load, health and distance.
  *
  * @param capacity KV cache capacity of a replica of a service in tokens; 0 for a plain service.
+ * @param cold cold replicas, which are left out without budget and otherwise come after warm ones with capacity.
  */
 class ReplicaSelector(
     private val table: ReplicaTable,
     private val domains: FailureDomains,
     private val capacity: (String) -> Int = { 0 },
     private val random: Random = Random.Default,
+    private val cold: ColdReplicas? = null,
 ) {
     /**
      * Returns the best replica of [service] at [stage] that is not in [avoid]; null if there is none. With [near],
@@ -24,7 +26,7 @@
         avoid: Set<String> = emptySet(),
         near: String? = null,
     ): ReplicaState? {
-        val all = table.usable(service, stage).filter { it.replica.id !in avoid }
+        val all = table.usable(service, stage).filter { it.replica.id !in avoid && cold?.permits(it) != false }
         val reachable = if (near == null) all else all.filter { inRegion(it, near) }
         val healthy = reachable.filterNot { it.unresponsive }
         // Falls back to full replicas, which may queue the request, and then to unresponsive ones.
@@ -42,7 +44,8 @@
      * [resumed] responses, which continue at another replica, may use memory that is reserved from new ones.
      */
     fun selectWithCapacity(service: String, tokens: Int, avoid: Set<String>, resumed: Boolean = false): ReplicaState? {
-        val all = table.usable(service, ReplicaStage.DECODE).filter { it.replica.id !in avoid }
+        val all =
+            table.usable(service, ReplicaStage.DECODE).filter { it.replica.id !in avoid && cold?.permits(it) != false }
         val healthy = all.filterNot { it.unresponsive }.ifEmpty { all }.filterNot { it.full }
         val memory = (capacity(service) * if (resumed) 1.0 else USABLE_MEMORY_FRACTION).toInt()
         // A request that exceeds the capacity of every replica is tried at an empty one.
@@ -55,12 +58,17 @@
     }
 
     private fun costFrom(service: String, state: ReplicaState): Double =
-        load(service, state) + distanceCost(state, near = null) + random.nextDouble() * JITTER
+        load(service, state) + (cold?.cost(state) ?: 0.0) + distanceCost(state, near = null) +
+            random.nextDouble() * JITTER
 
     /** Cost of a prefill for [decode], whose KV cache must come from its own region. */
     private fun prefillCost(service: String, decode: ReplicaState): Double {
         val near = decode.replica.failureDomain
-        val prefill = select(service, ReplicaStage.PREFILL, near = near) ?: return DECODE_PREFILL_COST
+        val prefill = select(service, ReplicaStage.PREFILL, near = near)
+        if (prefill == null) {
+            val withoutBudget = cold?.waitMillis(service, ReplicaStage.PREFILL) { inRegion(it, near) } != null
+            return if (withoutBudget) MAX_PREFILL_COST else DECODE_PREFILL_COST
+        }
         if (prefill.unresponsive) return DECODE_PREFILL_COST
         return minOf(MAX_PREFILL_COST, prefill.cost(capacity(service)) * PREFILL_WEIGHT)
     }
@@ -70,7 +78,9 @@
 
     private fun best(service: String, states: List<ReplicaState>, near: String?): ReplicaState? {
         val memory = capacity(service)
-        return states.minByOrNull { it.cost(memory) + distanceCost(it, near) + random.nextDouble() * JITTER }
+        return states.minByOrNull {
+            it.cost(memory) + (cold?.cost(it) ?: 0.0) + distanceCost(it, near) + random.nextDouble() * JITTER
+        }
     }
 
     private fun distanceCost(state: ReplicaState, near: String?): Double {
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
@@ -5,12 +5,17 @@
 import kotlin.math.exp
 
 /** Load and health of one replica as seen by this VM. Thread-safe. */
-class ReplicaState(replica: Replica, private val clock: MonotonicClock) {
+class ReplicaState(replica: Replica, private val clock: MonotonicClock, startAgeMillis: Long? = null) {
+    /** For how long the replica is cold. */
+    val warmth = ReplicaWarmth(clock, startAgeMillis).also { state -> replica.coldLeftMillis?.let(state::recordCold) }
+
     /** The most recently listed description of the replica. */
     @Volatile
     var replica: Replica = replica
         internal set(next) {
             if (field.leaving) availability.announceLeaving()
+            // The value counts from the write of an entry, so one that is only listed again states nothing.
+            if (next != field) next.coldLeftMillis?.let(warmth::recordCold)
             field = next
         }
 
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
@@ -3,7 +3,10 @@
 import fireflyhinge.time.MonotonicClock
 
 /** State of all replicas that the platform lists. Thread-safe. */
-class ReplicaTable(private val clock: MonotonicClock = MonotonicClock.SYSTEM) {
+class ReplicaTable(
+    private val clock: MonotonicClock = MonotonicClock.SYSTEM,
+    private val wallMillis: () -> Long = System::currentTimeMillis,
+) {
     private var states = emptyMap<String, ReplicaState>()
 
     /** Replicas whose entries are gone although their processes may run on, oldest first; entries may return. */
@@ -62,6 +65,9 @@
     fun setRemoteTokens(sums: Map<String, Long>) =
         states.forEach { (id, state) -> state.setRemoteTokens(sums[id] ?: 0) }
 
+    /** All listed replicas. */
+    val all: List<ReplicaState> @Synchronized get() = states.values.toList()
+
     /** Number of listed replicas. */
     val size: Int @Synchronized get() = states.size
 
@@ -69,7 +75,11 @@
         val known = states[replica.id] ?: unlisted[replica.id]
         val same = known != null && known.replica.startedAt == replica.startedAt &&
             known.replica.address == replica.address
-        if (!same) return ReplicaState(replica, clock)
+        if (!same) {
+            // Clocks of machines differ a little, so a start in the future was just now.
+            val age = replica.startedAt.takeIf { it > 0 }?.let { maxOf(0, wallMillis() - it) }
+            return ReplicaState(replica, clock, age)
+        }
         known.replica = replica
         return known
     }
