Keep the requests to cold replicas within what their service states

A cold replica crashes at a rate well above the one that its service states (coldPerS), and nothing bounded the requests to it.

A replica's entry (coldLeftMs, born) and the header X-Cold-Ms of any of its responses tell whether it is cold. The budget is taken where a request is written, for plain requests, hedges, retries, prefills, runs, failovers and resumptions; runs claim it before their prefill. A request for which only cold replicas without budget are left waits within its target or is refused as not run. Gauge, counters and log lines show cold replicas, sends and refusals.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -1,6 +1,8 @@
 package fireflyhinge.gateway
 
 import fireflyhinge.forward.CallerLimits
+import fireflyhinge.forward.ColdBudget
+import fireflyhinge.forward.ColdReplicas
 import fireflyhinge.forward.CrashEvidence
 import fireflyhinge.forward.FailureDomains
 import fireflyhinge.forward.FleetView
@@ -25,6 +27,8 @@
 import fireflyhinge.gateway.fleet.PeerClient
 import fireflyhinge.gateway.fleet.PeerQuotaBorrower
 import fireflyhinge.gateway.fleet.StoreMirror
+import fireflyhinge.gateway.forward.ColdReplicaMonitor
+import fireflyhinge.gateway.forward.ColdSends
 import fireflyhinge.gateway.forward.CrashDetector
 import fireflyhinge.gateway.forward.CrashGuard
 import fireflyhinge.gateway.forward.ForwardPipeline
@@ -79,12 +83,20 @@
         RetryBudgetShares(settings.retries) {
             if (fleetKnown()) fleet.quotaMembers().size else maxOf(fleet.quotaMembers().size, ASSUMED_VMS)
         }
-    private val routing = ReplicaRouting(table, ReplicaSelector(table, domains, ::memoryOf), retries)
+    private val coldBudget = ColdBudget(settings.vm, settings.cold)
+    private val cold = ColdReplicas(table, coldBudget) { config?.services?.get(it) }
+    private val coldSends = ColdSends(cold, registry)
+    private val routing =
+        ReplicaRouting(table, ReplicaSelector(table, domains, ::memoryOf, cold = cold), retries, coldSends)
     private val replicaPool = ConnectionPool(io)
     private val notices = ReplicaNotices(registry)
     private val crashes = CrashDetector(replicaPool, io.scope, evidence, registry)
-    private val sender = ReplicaSender(replicaPool, protocols.replicas, notices)
+    private val sender = ReplicaSender(replicaPool, protocols.replicas, notices, coldSends)
     private val replicaCalls = ReservationClient(io, replicaPool, protocols.reservations, protocols.replicas, notices)
+    private val coldMonitor =
+        ColdReplicaMonitor(coldBudget, cold, fleet, table, registry) {
+            (fleetListed || gossip.answered > 0) && config?.services?.values?.any { it.coldPerSecond > 0 } == true
+        }
     private val plannedStop = PlannedStop()
     private val startedAt = monotonicMillis()
 
@@ -144,6 +156,7 @@
         io.scope.launch { evidenceBroadcaster.run() }
         io.scope.launch { evidenceStore.run() }
         io.scope.launch { guard.applyVerdicts() }
+        io.scope.launch { coldMonitor.run() }
         io.scope.launch { LoadBroadcaster(io.scope, updates, domains, peers, table).run() }
         log.atInfo().addKeyValue("vm", settings.vm).addKeyValue("front", settings.front).log("started")
     }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/GatewaySettings.kt
@@ -1,5 +1,6 @@
 package fireflyhinge.gateway
 
+import fireflyhinge.forward.ColdBounds
 import fireflyhinge.forward.QuotaBounds
 import fireflyhinge.forward.RetryBounds
 import java.net.InetSocketAddress
@@ -31,4 +32,5 @@
     val stopMillis: Long,
     val quota: QuotaBounds = QuotaBounds(),
     val retries: RetryBounds = RetryBounds(),
+    val cold: ColdBounds = ColdBounds(),
 )
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeAccounting.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeAccounting.kt
@@ -35,9 +35,13 @@
             is DecodeOutcome.NotSent -> {
                 context.recordNotRun()
                 attempts.undelivered++
-                state.recordNoResponse()
+                if (!outcome.noBudget) state.recordNoResponse()
                 attempts.lastFailure =
-                    Outcome.Failure(ResultCode.NO_UPSTREAM, outcome.reason, NO_REPLICA_RETRY_AFTER_MILLIS)
+                    if (outcome.noBudget) {
+                        ColdSends.refusal()
+                    } else {
+                        Outcome.Failure(ResultCode.NO_UPSTREAM, outcome.reason, NO_REPLICA_RETRY_AFTER_MILLIS)
+                    }
                 DecodeStepResult.NotRun
             }
             is DecodeOutcome.Abandoned -> {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeOutcome.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeOutcome.kt
@@ -13,8 +13,8 @@
     /** The replica states that it did not run the request. */
     data class NotRun(val otherReplica: Boolean) : DecodeOutcome
 
-    /** Nothing was sent. */
-    data class NotSent(val reason: String) : DecodeOutcome
+    /** Nothing was sent. [noBudget] is true if only because the replica is cold and this VM has no budget for it. */
+    data class NotSent(val reason: String, val noBudget: Boolean = false) : DecodeOutcome
 
     /** The run was ended, since the first replica resumed before this one responded. */
     data object Abandoned : DecodeOutcome {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
@@ -33,7 +33,7 @@
             exchange(state) { exchange ->
                 exchange.use { connection ->
                     watch.during(connection) {
-                        val head = openedHead ?: sender.begin(state, connection, context.request, call)
+                        val head = openedHead ?: sender.begin(state, connection, context.request, call, claimed = true)
                         read(state, connection, head)
                     }
                 }
@@ -48,7 +48,7 @@
     suspend fun open(state: ReplicaState, call: ReplicaRequestOptions): DecodeOutcome? =
         exchange(state) { exchange ->
             try {
-                val head = sender.begin(state, exchange.connection, context.request, call)
+                val head = sender.begin(state, exchange.connection, context.request, call, claimed = true)
                 if (head.status().code() == OK) {
                     opened = exchange
                     openedHead = head
@@ -74,6 +74,8 @@
             block(opened ?: sender.connect(state, context.request, context.metadata.expectedKvTokens))
         } catch (e: ConnectFailedException) {
             DecodeOutcome.NotSent(e.message.orEmpty())
+        } catch (e: ColdBudgetException) {
+            DecodeOutcome.NotSent(e.message.orEmpty(), noBudget = true)
         } catch (e: IOException) {
             if (!watch.failedOver) crashes.record(state, BrokenRun(context, progress.settled))
             DecodeOutcome.Interrupted(e.message.orEmpty())
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
@@ -65,8 +65,16 @@
         }
     }
 
-    private fun next(context: RequestContext, attempts: Attempts): ReplicaState? {
-        val state = routing.selector.select(context.service, ReplicaStage.PLAIN, attempts.excluded)
+    private suspend fun next(context: RequestContext, attempts: Attempts): ReplicaState? {
+        var state = routing.selector.select(context.service, ReplicaStage.PLAIN, attempts.excluded)
+        // While a send is in progress, its response is awaited instead.
+        if (attempts.race.size == 0) {
+            while (state == null && routing.cold.await(context, ReplicaStage.PLAIN, attempts.excluded)) {
+                state = routing.selector.select(context.service, ReplicaStage.PLAIN, attempts.excluded)
+            }
+            val blocked = state == null && routing.cold.blocks(context, ReplicaStage.PLAIN, attempts.excluded)
+            if (blocked && !attempts.arrived) attempts.lastFailure = ColdSends.refusal()
+        }
         val repeated = attempts.sends > 0 || attempts.arrived
         return state?.takeIf { !repeated || routing.retries.tryAcquire(context.service) }
     }
@@ -123,9 +131,14 @@
                 context.recordNotRun()
                 attempts.sends--
                 attempts.undelivered++
-                state.recordNoResponse()
-                attempts.lastFailure =
-                    Outcome.Failure(ResultCode.NO_UPSTREAM, result.reason, NO_REPLICA_RETRY_AFTER_MILLIS)
+                if (result.noBudget) {
+                    attempts.excluded -= id
+                    attempts.lastFailure = ColdSends.refusal()
+                } else {
+                    state.recordNoResponse()
+                    attempts.lastFailure =
+                        Outcome.Failure(ResultCode.NO_UPSTREAM, result.reason, NO_REPLICA_RETRY_AFTER_MILLIS)
+                }
                 null
             }
             is SendResult.NoResponse -> {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
@@ -19,8 +19,8 @@
     suspend fun run(context: RequestContext, near: String, retry: Boolean): PrefillResult {
         val avoid = HashSet<String>()
         repeat(MAX_ATTEMPTS) { number ->
-            val state = routing.selector.select(context.service, ReplicaStage.PREFILL, avoid, near)
-            val listed = number > 0 || backingOff(context, near)
+            val state = next(context, avoid, near)
+            val listed = number > 0 || backingOff(context, near) || state == null && coldBlocks(context, avoid, near)
             state ?: return if (listed) PrefillResult.Failed else PrefillResult.NoReplica
             val again = retry || number > 0
             if (context.barred || again && !routing.retries.tryAcquire(context.service)) return PrefillResult.Failed
@@ -33,6 +33,20 @@
         return PrefillResult.Failed
     }
 
+    /** Selects a prefill replica near [near]; waits for the budget of cold ones if there are no others. */
+    private suspend fun next(context: RequestContext, avoid: Set<String>, near: String): ReplicaState? {
+        while (true) {
+            val state = routing.selector.select(context.service, ReplicaStage.PREFILL, avoid, near)
+            val waited = state == null && routing.cold.await(context, ReplicaStage.PREFILL, avoid) { isNear(it, near) }
+            if (!waited) return state
+        }
+    }
+
+    private fun coldBlocks(context: RequestContext, avoid: Set<String>, near: String): Boolean =
+        routing.cold.blocks(context, ReplicaStage.PREFILL, avoid) { isNear(it, near) }
+
+    private fun isNear(state: ReplicaState, near: String): Boolean = routing.selector.inRegion(state, near)
+
     /** Whether there are prefill replicas in the region of [near] that want no requests for a while. */
     private fun backingOff(context: RequestContext, near: String): Boolean =
         routing.table.backingOff(context.service, ReplicaStage.PREFILL).any { routing.selector.inRegion(it, near) }
@@ -57,13 +71,17 @@
         if (result is SendResult.NoResponse && result.brokenOff) {
             crashes.record(state, BrokenRun(context, settled = false))
         }
+        if (cache != null) state.recordResponse(success = true) else recordFailure(state, result)
+        return cache
+    }
+
+    private fun recordFailure(state: ReplicaState, result: SendResult) {
         when {
-            cache != null -> state.recordResponse(success = true)
             result is SendResult.Responded && result.metadata.notRun && !result.metadata.otherReplica ->
                 state.full = true
+            result is SendResult.NotSent && result.noBudget -> Unit
             else -> state.recordNoResponse()
         }
-        return cache
     }
 
     private fun describe(result: SendResult): String =
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaNotices.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaNotices.kt
@@ -32,6 +32,9 @@
         if (metadata.otherReplica && state.availability.recordReplaced()) {
             event(state).log("another process has the address of a replica; it gets no requests")
         }
+        metadata.coldMillis?.takeIf { state.warmth.recordCold(it) }?.let {
+            event(state).addKeyValue("millis", it).log("replica announced that it is cold")
+        }
         val asked = metadata.backoffMillis ?: return
         if (!state.availability.requestBackoff(asked)) return
         backoffs.labelValues(service).inc()
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaResponseMetadata.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaResponseMetadata.kt
@@ -12,6 +12,7 @@
  * @property load load that the replica reports, or null.
  * @property leaving whether the replica announces that it leaves.
  * @property backoffMillis milliseconds for which a replica that refused a request wants no further ones, or null.
+ * @property coldMillis milliseconds for which the replica says that it stays cold, or null.
  */
 data class ReplicaResponseMetadata(
     val requestId: String?,
@@ -21,4 +22,5 @@
     val load: ReplicaLoad?,
     val leaving: Boolean = false,
     val backoffMillis: Long? = null,
+    val coldMillis: Long? = null,
 )
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaRouting.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaRouting.kt
@@ -9,8 +9,13 @@
 import fireflyhinge.result.ResultCode
 import kotlin.random.Random
 
-/** Replica table, replica selection and retry budget. */
-internal class ReplicaRouting(val table: ReplicaTable, val selector: ReplicaSelector, val retries: RetryBudgetShares) {
+/** Replica table, replica selection, retry budget and the budget of cold replicas. */
+internal class ReplicaRouting(
+    val table: ReplicaTable,
+    val selector: ReplicaSelector,
+    val retries: RetryBudgetShares,
+    val cold: ColdSends,
+) {
     /**
      * Returns the refusal [failure] with a Retry-After that follows from the pauses that the replicas of [service] at
      * one of [stages] asked for, if they are why none accepts requests. Returns [failure] otherwise, and if the request
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaSender.kt
@@ -21,6 +21,7 @@
     private val pool: ConnectionPool,
     private val protocol: ReplicaProtocol,
     private val notices: ReplicaNotices,
+    private val cold: ColdSends,
 ) {
     /** Sends [request] and reads the complete response. Closes the connection at the time-out, which ends the run. */
     suspend fun sendAndRead(
@@ -41,6 +42,8 @@
                     }
                 } catch (e: ConnectFailedException) {
                     SendResult.NotSent(e.message.orEmpty())
+                } catch (e: ColdBudgetException) {
+                    SendResult.NotSent(e.message.orEmpty(), noBudget = true)
                 } catch (e: IOException) {
                     SendResult.NoResponse(e.message.orEmpty(), brokenOff = true)
                 }
@@ -50,16 +53,22 @@
         return SendResult.NoResponse("no answer in $timeoutMillis ms")
     }
 
-    /** Writes [request] for [state]'s replica to [connection] and returns the head of the response. */
+    /**
+     * Writes [request] for [state]'s replica to [connection] and returns the head of the response. Throws
+     * [ColdBudgetException] before it writes if the replica is cold and there is no budget; [claimed] is true if the
+     * request has claimed it.
+     */
     suspend fun begin(
         state: ReplicaState,
         connection: OutboundConnection,
         request: CallerRequest,
         call: ReplicaRequestOptions,
+        claimed: Boolean = false,
     ): HttpResponse {
         val headers = protocol.request(request.headers, call)
         val id = protocol.requestId(request.headers)
         val sent = OutboundRequests.of(request.method, request.uri, headers, request.body)
+        cold.acquire(state, claimed)
         connection.send(sent, id, Matcher(id, call))
         val head = connection.readHead()
         notices.record(state, protocol.reply(head.status().code(), head.headers()))
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/SendResult.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/SendResult.kt
@@ -12,8 +12,8 @@
         val body: ByteArray,
     ) : SendResult
 
-    /** Nothing was sent. */
-    data class NotSent(val reason: String) : SendResult
+    /** Nothing was sent. [noBudget] is true if only because the replica is cold and this VM has no budget for it. */
+    data class NotSent(val reason: String, val noBudget: Boolean = false) : SendResult
 
     /**
      * The request was sent, but no complete response was received; it may have run. [brokenOff] is true if the replica
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -52,8 +52,13 @@
         }
         // Callers wait longer for an interrupted stream to resume than for a response to begin.
         val until = if (response.started) monotonicMillis() + RESUME_SLOT_WAIT_MILLIS else slotDeadlineMillis
-        val target = slots.reserve(context, attempts.excluded, until, resumed = response.started)
-        if (target == null) context.attemptLog += "no decode slot found"
+        val target =
+            routing.cold.claimed(until, ::releaseReservation) {
+                slots.reserve(context, attempts.excluded, until, resumed = response.started)
+            }
+        if (target == null && !routing.cold.blocks(context, ReplicaStage.DECODE, attempts.excluded)) {
+            context.attemptLog += "no decode slot found"
+        }
         return target
     }
 
@@ -72,7 +77,10 @@
             if (!routing.retries.tryAcquire(context.service)) return false
             try {
                 // untilMillis = 0 means not to wait for a slot.
-                val target = slots.reserve(context, attempts.excluded, untilMillis = 0, resumed = response.started)
+                val target =
+                    routing.cold.claimed(untilMillis = 0, ::releaseReservation) {
+                        slots.reserve(context, attempts.excluded, untilMillis = 0, resumed = response.started)
+                    }
                 attempts.failover = target?.let { prefill(it) }
             } finally {
                 if (attempts.failover == null) routing.retries.release(context.service)
