--- a/gateway/src/main/kotlin/fireflyhinge/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/GatewaySettings.kt
@@ -1,5 +1,6 @@
 package fireflyhinge.gateway
 
+import fireflyhinge.forward.ColdBounds
 import fireflyhinge.forward.QuotaBounds
 import fireflyhinge.forward.RetryBounds
 import fireflyhinge.forward.StoreEras
@@ -34,4 +35,5 @@
     val quota: QuotaBounds = QuotaBounds(),
     val retries: RetryBounds = RetryBounds(),
     val contactMillis: Long = StoreEras.DEFAULT_CONTACT_MILLIS,
+    val cold: ColdBounds = ColdBounds(),
 )
