--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
@@ -62,6 +62,9 @@
     @Synchronized
     fun recordPrefill(tokens: Int, elapsedMillis: Long) = prefill.read(tokens, elapsedMillis, clock.millis())
 
+    /** The load that the replica reported most recently, or null. */
+    val reportedLoad: ReplicaLoad? @Synchronized get() = load
+
     /** Records the load reported with a response. */
     @Synchronized
     fun recordLoad(next: ReplicaLoad) {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
@@ -34,7 +34,7 @@
                 exchange.use { connection ->
                     watch.during(connection) {
                         val head = openedHead ?: sender.begin(state, connection, context.request, call)
-                        read(state, connection, head)
+                        read(connection, head)
                     }
                 }
             }
@@ -54,7 +54,7 @@
                     openedHead = head
                     null
                 } else {
-                    exchange.use { read(state, it, head) }
+                    exchange.use { read(it, head) }
                 }
             } finally {
                 if (opened == null) exchange.close()
@@ -79,14 +79,9 @@
             DecodeOutcome.Interrupted(e.message.orEmpty())
         }
 
-    private suspend fun read(
-        state: ReplicaState,
-        connection: OutboundConnection,
-        head: HttpResponse,
-    ): ReadResult<DecodeOutcome> {
+    private suspend fun read(connection: OutboundConnection, head: HttpResponse): ReadResult<DecodeOutcome> {
         if (head.status().code() == OK) return stream(connection, head)
         val complete = sender.read(connection, head)
-        complete.metadata.load?.let(state::recordLoad)
         if (complete.metadata.notRun) return ReadResult.Complete(DecodeOutcome.NotRun(complete.metadata.otherReplica))
         val forwarded = ForwardResult.Response(complete.status, complete.headers, complete.body)
         return ReadResult.Complete(DecodeOutcome.OtherResponse(forwarded))
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
@@ -146,7 +146,6 @@
     ): ForwardResult? {
         context.attemptLog += "${state.replica.id} ${result.status}${if (result.metadata.notRun) " not run" else ""}"
         attempts.arrived = true
-        result.metadata.load?.let(state::recordLoad)
         if (result.metadata.notRun) {
             context.recordNotRun()
             if (result.metadata.otherReplica) {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaNotices.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaNotices.kt
@@ -5,7 +5,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.slf4j.LoggerFactory
 
-/** Records what replicas say about further requests in their responses, logs it once and counts it. */
+/** Records what replicas say about their load and further requests in their responses, and counts it. */
 internal class ReplicaNotices(registry: PrometheusRegistry) {
     private val leaving =
         Counter
@@ -22,9 +22,22 @@
             .labelNames("service")
             .register(registry)
 
+    private val loads =
+        Counter
+            .builder()
+            .name("fireflyhinge_replica_load_reports_total")
+            .help("Responses in which a replica reported its load.")
+            .labelNames("service", "stage")
+            .register(registry)
+
     /** Records the notices in a response of [state]'s replica with [metadata]. */
     fun record(state: ReplicaState, metadata: ReplicaResponseMetadata) {
         val service = state.replica.service
+        // The load of another process at the address says nothing about this replica.
+        metadata.load?.takeUnless { metadata.otherReplica }?.let {
+            state.recordLoad(it)
+            loads.labelValues(service, state.replica.stage.name.lowercase()).inc()
+        }
         if (metadata.leaving && state.availability.announceLeaving()) {
             leaving.labelValues(service).inc()
             event(state).log("replica announced that it leaves; it gets no new requests")
