--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
@@ -27,7 +27,8 @@
             val again = retry || number > 0
             if (context.barred || again && !routing.retries.tryAcquire(context.service)) return PrefillResult.Failed
             avoid += state.replica.id
-            send(context, state, timeoutMillis(context, number, avoid, near))?.let { return PrefillResult.Completed(it) }
+            val timeout = timeoutMillis(context, number, avoid, near)
+            send(context, state, timeout)?.let { return PrefillResult.Completed(it) }
         }
         return PrefillResult.Failed
     }
