Spread requests evenly over replicas in large fleets

Cause: each VM selected the replica with the least known load. In a fleet of 70 VMs reports are 0.1 to 1 s old and exchanges between VMs are seconds apart, so many VMs selected the same replica, and replicas of unequal speed got equal requests.

Change: ReplicaSelector leaves the choice among its candidates to a SelectionPolicy. LeastLoadPolicy is the choice as it was, for fleets of up to 24 VMs. EvenLoadPolicy, for larger ones, draws two replicas with a probability by capacity, expected load and distance and takes the less loaded one. Capacity follows the reported slots and pace and the speed measured with own requests; missing and old reports count as the mean of the other replicas. It determines the prefill cost of decode replicas once per failure domain. Gauges show the mean reported load per slot and that of the busiest replica relative to it.

--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaSelector.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaSelector.kt
@@ -6,12 +6,15 @@
  * Selects the replica for a request by load, health and distance.
  *
  * @param capacity KV cache capacity of a replica of a service in tokens; 0 for a plain service.
+ * @param random for the default [policy].
+ * @param policy selects among the replicas that may take a request; evaluated for each request.
  */
 class ReplicaSelector(
     private val table: ReplicaTable,
     private val domains: FailureDomains,
     private val capacity: (String) -> Int = { 0 },
-    private val random: Random = Random.Default,
+    random: Random = Random.Default,
+    private val policy: () -> SelectionPolicy = LeastLoadPolicy(random).let { least -> { least } },
 ) {
     /**
      * Returns the best replica of [service] at [stage] that is not in [avoid]; null if there is none. With [near],
@@ -47,31 +50,34 @@
         val memory = (capacity(service) * if (resumed) 1.0 else USABLE_MEMORY_FRACTION).toInt()
         // A request that exceeds the capacity of every replica is tried at an empty one.
         val fitting = healthy.filter { it.availableTokens(memory) >= tokens || it.availableTokens(memory) >= memory }
-        return fitting
-            .map { it to prefillCost(service, it) }
-            .filterNot { (_, prefill) -> prefill >= PREFILL_COST_LIMIT && prefill < DECODE_PREFILL_COST }
-            .minByOrNull { (state, prefill) -> prefill + costFrom(service, state) }
-            ?.first
+        val policy = policy()
+        val shared = HashMap<String, Double>()
+        val candidates =
+            fitting
+                .map {
+                    val cost = { prefillCost(service, it, policy) }
+                    it to if (policy.sharesPrefillCosts) shared.getOrPut(it.replica.failureDomain, cost) else cost()
+                }
+                .filterNot { (_, prefill) -> prefill >= PREFILL_COST_LIMIT && prefill < DECODE_PREFILL_COST }
+                .map { (state, prefill) ->
+                    SelectionPolicy.Candidate(state, prefill + distanceCost(state, near = null))
+                }
+        return policy.select(candidates, capacity(service))
     }
 
-    private fun costFrom(service: String, state: ReplicaState): Double =
-        load(service, state) + distanceCost(state, near = null) + random.nextDouble() * JITTER
-
     /** Cost of a prefill for [decode], whose KV cache must come from its own region. */
-    private fun prefillCost(service: String, decode: ReplicaState): Double {
+    private fun prefillCost(service: String, decode: ReplicaState, policy: SelectionPolicy): Double {
         val near = decode.replica.failureDomain
         val prefill = select(service, ReplicaStage.PREFILL, near = near) ?: return DECODE_PREFILL_COST
         if (prefill.unresponsive) return DECODE_PREFILL_COST
-        return minOf(MAX_PREFILL_COST, prefill.cost(capacity(service)) * PREFILL_WEIGHT)
+        return minOf(MAX_PREFILL_COST, policy.load(prefill, capacity(service)) * PREFILL_WEIGHT)
     }
 
     /** Load of [state] as known to this VM; 1 is a full replica. */
     fun load(service: String, state: ReplicaState): Double = state.cost(capacity(service))
 
-    private fun best(service: String, states: List<ReplicaState>, near: String?): ReplicaState? {
-        val memory = capacity(service)
-        return states.minByOrNull { it.cost(memory) + distanceCost(it, near) + random.nextDouble() * JITTER }
-    }
+    private fun best(service: String, states: List<ReplicaState>, near: String?): ReplicaState? =
+        policy().select(states.map { SelectionPolicy.Candidate(it, distanceCost(it, near)) }, capacity(service))
 
     private fun distanceCost(state: ReplicaState, near: String?): Double {
         val domain = state.replica.failureDomain
@@ -106,8 +112,5 @@
 
         /** A prefill wait of half the objective costs as much as a full decode replica. */
         const val PREFILL_WEIGHT = 2.0
-
-        /** Prevents VMs with the same view from all selecting the same replica. */
-        const val JITTER = 0.1
     }
 }
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
@@ -26,6 +26,9 @@
     private val health = ReplicaHealth()
     private var fullUntil = 0L
 
+    /** What reports and own requests tell about the replica's load and speed. */
+    val estimate = ReplicaLoadEstimate(clock.millis())
+
     /** Requests of this VM in flight at the replica. */
     val open: Int @Synchronized get() = inFlight
 
@@ -43,6 +46,7 @@
         inFlight++
         ownTokens += tokens
         prefill.sent(tokens, clock.millis())
+        estimate.sent()
     }
 
     /** Records the end of a request of [tokens], whatever its outcome. */
@@ -60,7 +64,10 @@
 
     /** Records a prefill of [tokens] that completed after [elapsedMillis] or timed out then. */
     @Synchronized
-    fun recordPrefill(tokens: Int, elapsedMillis: Long) = prefill.read(tokens, elapsedMillis, clock.millis())
+    fun recordPrefill(tokens: Int, elapsedMillis: Long) {
+        prefill.read(tokens, elapsedMillis, clock.millis())
+        if (tokens >= MIN_SPEED_TOKENS) estimate.served(elapsedMillis * SPEED_TOKENS / tokens)
+    }
 
     /** The load that the replica reported most recently, or null. */
     val reportedLoad: ReplicaLoad? @Synchronized get() = load
@@ -70,8 +77,13 @@
     fun recordLoad(next: ReplicaLoad) {
         load = next
         loadAt = clock.millis()
+        estimate.reported(next, replica.slots, loadAt)
     }
 
+    /** The current [estimate]. */
+    internal val expectation: ReplicaLoadEstimate.Snapshot
+        @Synchronized get() = estimate.at(clock.millis(), replica.slots, inFlight)
+
     /** Records a response. [success] is false if it reports a failure of the replica itself. */
     @Synchronized
     fun recordResponse(success: Boolean) = health.recordResponse(success)
@@ -104,15 +116,20 @@
     /**
      * Expected load of the replica; 1 is a full replica. Model replicas are rated by the tokens of all VMs, plain ones
      * by requests. A reported load decays, because it describes the time of an earlier response. [capacity] is the KV
-     * cache capacity in tokens, or 0 for a plain replica.
+     * cache capacity in tokens, or 0 for a plain replica. [expected] is used instead of the decayed report, and adds to
+     * what is known of a model replica.
      */
     @Synchronized
-    fun cost(capacity: Int): Double {
+    fun cost(capacity: Int, expected: ExpectedLoad? = null): Double {
+        val fill = expected?.fill ?: 0.0
         val load =
             when (replica.stage) {
-                ReplicaStage.PREFILL -> prefill.wait(ownTokens, remoteTokens, clock.millis())
-                ReplicaStage.DECODE -> (ownTokens + remoteTokens).toDouble() / maxOf(1, capacity)
-                ReplicaStage.PLAIN -> requestLoad()
+                ReplicaStage.PREFILL -> {
+                    val wait = prefill.wait(ownTokens, remoteTokens, clock.millis())
+                    maxOf(wait, fill * PROMPT_OBJECTIVES) * (expected?.pace ?: 1.0)
+                }
+                ReplicaStage.DECODE -> maxOf((ownTokens + remoteTokens).toDouble() / maxOf(1, capacity), fill)
+                ReplicaStage.PLAIN -> expected?.fill ?: requestLoad()
             }
         return health.cost + load
     }
@@ -126,6 +143,13 @@
     }
 
     private companion object {
+        /** Prefill time of a mean prompt in latency objectives. */
+        const val PROMPT_OBJECTIVES = 0.11
+
+        /** The time for a shorter prompt says little about a replica's speed; it is scaled to a mean prompt. */
+        const val MIN_SPEED_TOKENS = 1_000
+        const val SPEED_TOKENS = 5_000.0
+
         /** In-flight requests also count by number, since replicas with many slots slow down with each. */
         const val IN_FLIGHT_SCALE = 16.0
 
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
@@ -62,6 +62,15 @@
     fun setRemoteTokens(sums: Map<String, Long>) =
         states.forEach { (id, state) -> state.setRemoteTokens(sums[id] ?: 0) }
 
+    /** Mean reported requests per slot of the replicas that accept requests, by service and stage. */
+    val meanFills: Map<Pair<String, ReplicaStage>, List<Double>>
+        @Synchronized get() =
+            states.values
+                .filter { it.accepting }
+                .mapNotNull { state ->
+                    state.estimate.meanFill?.let { (state.replica.service to state.replica.stage) to it }
+                }.groupBy({ it.first }, { it.second })
+
     /** Number of listed replicas. */
     val size: Int @Synchronized get() = states.size
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -3,6 +3,7 @@
 import fireflyhinge.forward.CallerLimits
 import fireflyhinge.forward.CrashEvidence
 import fireflyhinge.forward.FailureDomains
+import fireflyhinge.forward.FleetSizePolicies
 import fireflyhinge.forward.FleetView
 import fireflyhinge.forward.ForwardConfig
 import fireflyhinge.forward.GatewayAddressSelector
@@ -32,6 +33,7 @@
 import fireflyhinge.gateway.forward.PlainForwarder
 import fireflyhinge.gateway.forward.PlannedStop
 import fireflyhinge.gateway.forward.QuotaCharger
+import fireflyhinge.gateway.forward.ReplicaLoadMetrics
 import fireflyhinge.gateway.forward.ReplicaNotices
 import fireflyhinge.gateway.forward.ReplicaRouting
 import fireflyhinge.gateway.forward.ReplicaSender
@@ -79,7 +81,12 @@
         RetryBudgetShares(settings.retries) {
             if (fleetKnown()) fleet.quotaMembers().size else maxOf(fleet.quotaMembers().size, ASSUMED_VMS)
         }
-    private val routing = ReplicaRouting(table, ReplicaSelector(table, domains, ::memoryOf), retries)
+    private val policies =
+        FleetSizePolicies(fleet) { even ->
+            log.atInfo().addKeyValue("policy", if (even) "even load" else "least load")
+                .log("selecting replicas by another policy, for the size of the fleet")
+        }
+    private val routing = ReplicaRouting(table, ReplicaSelector(table, domains, ::memoryOf, policy = policies), retries)
     private val replicaPool = ConnectionPool(io)
     private val notices = ReplicaNotices(registry)
     private val crashes = CrashDetector(replicaPool, io.scope, evidence, registry)
@@ -131,6 +138,7 @@
 
     /** Opens the ports and starts to watch the store and to gossip with other VMs. */
     fun start() {
+        ReplicaLoadMetrics(table, registry)
         evidence.onNews = {
             guard.notifyChange()
             evidenceBroadcaster.notifyNews()
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
@@ -95,7 +95,13 @@
         call: ReplicaRequestOptions,
     ): SendResult =
         try {
-            sender.sendAndRead(state, context.request, call, call.remainingMillis)
+            val began = monotonicMillis()
+            sender.sendAndRead(state, context.request, call, call.remainingMillis).also {
+                if (it is SendResult.Responded && !it.metadata.notRun && it.status < SERVER_ERROR) {
+                    val path = routing.selector.roundTripMillis(state)
+                    state.estimate.served(maxOf(1, monotonicMillis() - began - path).toDouble())
+                }
+            }
         } catch (e: CancellationException) {
             throw e
         } catch (e: Throwable) {
