--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
@@ -68,6 +68,15 @@
     /** All listed replicas. */
     val all: List<ReplicaState> @Synchronized get() = states.values.toList()
 
+    /** Mean reported requests per slot of the replicas that accept requests, by service and stage. */
+    val meanFills: Map<Pair<String, ReplicaStage>, List<Double>>
+        @Synchronized get() =
+            states.values
+                .filter { it.accepting }
+                .mapNotNull { state ->
+                    state.estimate.meanFill?.let { (state.replica.service to state.replica.stage) to it }
+                }.groupBy({ it.first }, { it.second })
+
     /** Number of listed replicas. */
     val size: Int @Synchronized get() = states.size
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -6,6 +6,7 @@
 import fireflyhinge.forward.CrashEvidence
 import fireflyhinge.forward.DownVms
 import fireflyhinge.forward.FailureDomains
+import fireflyhinge.forward.FleetSizePolicies
 import fireflyhinge.forward.FleetView
 import fireflyhinge.forward.ForwardConfig
 import fireflyhinge.forward.GatewayAddressSelector
@@ -46,6 +47,7 @@
 import fireflyhinge.gateway.forward.PlainForwarder
 import fireflyhinge.gateway.forward.PlannedStop
 import fireflyhinge.gateway.forward.QuotaCharger
+import fireflyhinge.gateway.forward.ReplicaLoadMetrics
 import fireflyhinge.gateway.forward.ReplicaNotices
 import fireflyhinge.gateway.forward.ReplicaRouting
 import fireflyhinge.gateway.forward.ReplicaSender
@@ -137,8 +139,13 @@
     private val coldBudget = ColdBudget(settings.vm, settings.cold)
     private val cold = ColdReplicas(table, coldBudget) { config?.services?.get(it) }
     private val coldSends = ColdSends(cold, registry)
-    private val routing =
-        ReplicaRouting(table, ReplicaSelector(table, domains, ::memoryOf, cold = cold), retries, coldSends)
+    private val policies =
+        FleetSizePolicies(fleet) { even ->
+            log.atInfo().addKeyValue("policy", if (even) "even load" else "least load")
+                .log("selecting replicas by another policy, for the size of the fleet")
+        }
+    private val selector = ReplicaSelector(table, domains, ::memoryOf, cold = cold, policy = policies)
+    private val routing = ReplicaRouting(table, selector, retries, coldSends)
     private val replicaPool = ConnectionPool(io, held = held)
     private val notices = ReplicaNotices(registry)
     private val crashes = CrashDetector(replicaPool, io.scope, evidence, registry)
@@ -196,6 +203,7 @@
 
     /** Opens the ports and starts to watch the store and to gossip with other VMs. */
     fun start() {
+        ReplicaLoadMetrics(table, registry)
         evidence.onNews = {
             guard.notifyChange()
             evidenceBroadcaster.notifyNews()
