Send nothing new to replicas of evacuated failure domains

Where the settings have bounds.evacMs, the kind is now watched and exchanged between VMs like the others. Replicas of an evacuated domain are offered to no sender, a run that was reserved there before is not sent, and its reservation is released, as is now that of every run that is not sent. A VM uses no replica before it has read the kind, for at most evacMs after its start.

--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
@@ -4,8 +4,16 @@
 import fireflyhinge.time.millis
 import kotlin.math.exp
 
-/** Load and health of one replica as seen by this VM. Thread-safe. */
-class ReplicaState(replica: Replica, private val clock: MonotonicClock) {
+/**
+ * Load and health of one replica as seen by this VM. Thread-safe.
+ *
+ * @param isEvacuated whether a failure domain is evacuated now.
+ */
+class ReplicaState(
+    replica: Replica,
+    private val clock: MonotonicClock,
+    private val isEvacuated: (String) -> Boolean = { false },
+) {
     /** The most recently listed description of the replica. */
     @Volatile
     var replica: Replica = replica
@@ -80,8 +88,12 @@
     /** Whether the replica is listed as leaving or announced it. That holds until its process ends. */
     val leaving: Boolean get() = replica.leaving || availability.leaving
 
+    /** Whether the replica's failure domain is evacuated, so that nothing new may be sent to the replica. */
+    val evacuated: Boolean get() = isEvacuated(replica.failureDomain)
+
     /** Whether the replica accepts new requests of this VM. */
-    val accepting: Boolean get() = !leaving && !availability.replaced && availability.backoffMillis == 0L
+    val accepting: Boolean
+        get() = !leaving && !evacuated && !availability.replaced && availability.backoffMillis == 0L
 
     /** Whether the replica is in backoff because it recently did not respond. */
     val unresponsive: Boolean @Synchronized get() = health.inBackoff(clock.millis())
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
@@ -6,6 +6,10 @@
 class ReplicaTable(private val clock: MonotonicClock = MonotonicClock.SYSTEM) {
     private var states = emptyMap<String, ReplicaState>()
 
+    /** Failure domains to whose replicas nothing new may be sent. */
+    @Volatile
+    var evacuatedDomains = emptySet<String>()
+
     /** Replicas whose entries are gone although their processes may run on, oldest first; entries may return. */
     private val unlisted = LinkedHashMap<String, ReplicaState>()
 
@@ -31,7 +35,7 @@
     /** Replicas of [service] at [stage] that stay but want no requests of this VM for a while. */
     @Synchronized
     fun backingOff(service: String, stage: ReplicaStage): List<ReplicaState> =
-        listed(service, stage).filter { !it.leaving && it.availability.backoffMillis > 0 }
+        listed(service, stage).filter { !it.leaving && !it.evacuated && it.availability.backoffMillis > 0 }
 
     /**
      * Milliseconds until a replica of [service] at [stage] accepts requests again. Null if one does now, or if it is
@@ -45,7 +49,9 @@
             null
         }
 
-    private fun listed(service: String, stage: ReplicaStage) =
+    /** All listed replicas of [service] at [stage]. */
+    @Synchronized
+    internal fun listed(service: String, stage: ReplicaStage): List<ReplicaState> =
         states.values.filter { it.replica.service == service && it.replica.stage == stage }
 
     /** Tokens of this VM at each replica; replicas without tokens are omitted. */
@@ -69,7 +75,7 @@
         val known = states[replica.id] ?: unlisted[replica.id]
         val same = known != null && known.replica.startedAt == replica.startedAt &&
             known.replica.address == replica.address
-        if (!same) return ReplicaState(replica, clock)
+        if (!same) return ReplicaState(replica, clock) { it in evacuatedDomains }
         known.replica = replica
         return known
     }
--- a/core/src/main/kotlin/fireflyhinge/forward/StoreObjectKind.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/StoreObjectKind.kt
@@ -13,4 +13,7 @@
 
     /** Evidence on traits of requests that crash replicas. */
     CRASHES,
+
+    /** Evacuated failure domains. */
+    EVACUATIONS,
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -17,6 +17,7 @@
 import fireflyhinge.gateway.fleet.CheckerSelector
 import fireflyhinge.gateway.fleet.ControlHandler
 import fireflyhinge.gateway.fleet.CopyExchange
+import fireflyhinge.gateway.fleet.EvacuationGuard
 import fireflyhinge.gateway.fleet.EvidenceBroadcaster
 import fireflyhinge.gateway.fleet.EvidenceStore
 import fireflyhinge.gateway.fleet.FleetUpdates
@@ -62,12 +63,18 @@
     private val checker = CheckerSelector(fleet, domains)
     private val configMirror =
         StoreMirror(StoreObjectKind.CONFIGURATION, store, io.scope, checker::isSelf, ::applyConfig)
-    private val replicaMirror = StoreMirror(StoreObjectKind.REPLICAS, store, io.scope, checker::isSelf, ::applyReplicas)
+    private val replicaMirror: StoreMirror =
+        StoreMirror(StoreObjectKind.REPLICAS, store, io.scope, checker::isSelf) { applyReplicas() }
     private val evidence = CrashEvidence()
     private val evidenceStore = EvidenceStore(evidence, fleet, store)
     private val evidenceMirror =
         StoreMirror(StoreObjectKind.CRASHES, store, io.scope, checker::isSelf, evidenceStore::read)
-    private val mirrors = listOf(configMirror, replicaMirror, evidenceMirror)
+    private val evacuations = EvacuationGuard(table, settings.evacuationMillis, registry, ::applyReplicas)
+    private val evacuationMirror =
+        settings.evacuationMillis?.let {
+            StoreMirror(StoreObjectKind.EVACUATIONS, store, io.scope, checker::isSelf, evacuations::apply)
+        }
+    private val mirrors = listOfNotNull(configMirror, replicaMirror, evidenceMirror, evacuationMirror)
     private val peers = PeerClient(HttpClient(ConnectionPool(io, defaultIdleLimitMillis = PEER_IDLE_MILLIS)))
     private val updates = FleetUpdates(fleet, table, ::ready)
     private val copies = CopyExchange(mirrors, peers, io.scope, checker::other)
@@ -138,6 +145,7 @@
         }
         (discovery + control + front).forEach { it.start() }
         io.scope.launch { discoverFleet() }
+        io.scope.launch { evacuations.awaitFirst() }
         mirrors.forEach { mirror -> io.scope.launch { mirror.run() } }
         io.scope.launch { gossip.run() }
         io.scope.launch { copies.run() }
@@ -196,7 +204,7 @@
         fleetListed = true
     }
 
-    private fun ready(): Boolean = !front.draining && config != null && replicaMirror.revision > 0
+    private fun ready(): Boolean = !front.draining && config != null && replicaMirror.revision > 0 && evacuations.known
 
     /** This VM's share of the limit of [workspace], from 0 to 1; a small one until the other VMs are known. */
     private fun quotaShare(workspace: String): Double {
@@ -232,8 +240,9 @@
             .log("configured")
     }
 
-    private fun applyReplicas(state: StoreObjectCache) {
-        val replicas = protocols.storeObjects.replicas(state.items().values)
+    private fun applyReplicas() {
+        if (!evacuations.known) return
+        val replicas = protocols.storeObjects.replicas(replicaMirror.state.items().values)
         table.replace(replicas)
         log.atInfo().addKeyValue("replicas", replicas.map { it.toLogText() })
             .log("replicas listed")
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/GatewaySettings.kt
@@ -17,6 +17,7 @@
  * @property store address of the platform's store.
  * @property firstStart whether the whole system is started for the first time.
  * @property stopMillis milliseconds from SIGTERM until the process is killed.
+ * @property evacuationMillis milliseconds within which an evacuation must take effect; null in a fleet without them.
  */
 data class GatewaySettings(
     val vm: String,
@@ -31,4 +32,5 @@
     val stopMillis: Long,
     val quota: QuotaBounds = QuotaBounds(),
     val retries: RetryBounds = RetryBounds(),
+    val evacuationMillis: Long? = null,
 )
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeAccounting.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeAccounting.kt
@@ -57,6 +57,7 @@
     fun obstacle(state: ReplicaState): String? =
         when {
             context.barred -> "such requests crash replicas"
+            state.evacuated -> "its failure domain is evacuated"
             state.availability.backoffMillis > 0 -> "it asked for a pause"
             else -> null
         }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaRouting.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaRouting.kt
@@ -4,6 +4,7 @@
 import fireflyhinge.forward.ReplicaStage
 import fireflyhinge.forward.ReplicaTable
 import fireflyhinge.forward.RetryBudgetShares
+import fireflyhinge.forward.allEvacuated
 import fireflyhinge.result.ExecutionStatus
 import fireflyhinge.result.Outcome
 import fireflyhinge.result.ResultCode
@@ -14,17 +15,31 @@
     /**
      * Returns the refusal [failure] with a Retry-After that follows from the pauses that the replicas of [service] at
      * one of [stages] asked for, if they are why none accepts requests. Returns [failure] otherwise, and if the request
-     * may have run.
+     * may have run. The first of [stages] is the one without which the service cannot run requests.
      */
     fun withKnownRetryAfter(failure: Outcome.Failure, service: String, stages: List<ReplicaStage>): Outcome.Failure {
         if (failure.code.run != ExecutionStatus.NOT_RUN) return failure
+        evacuationRefusal(service, stages.first())?.let { return it }
         val backoff = stages.mapNotNull { table.backoffMillis(service, it) }.maxOrNull() ?: return failure
         // Spreads the callers' retries.
         val millis = backoff + Random.nextLong(backoff / SPREAD_DIVISOR + 1)
         return Outcome.Failure(ResultCode.CAPACITY_EXHAUSTED, failure.detail, millis)
     }
 
+    /**
+     * Returns the refusal of a request for [service] if all its replicas at [stage] are in evacuated failure domains;
+     * null otherwise. An evacuation lasts for seconds or longer, and the random delay spreads the callers' retries.
+     */
+    fun evacuationRefusal(service: String, stage: ReplicaStage): Outcome.Failure? {
+        if (!table.allEvacuated(service, stage)) return null
+        val millis = Random.nextLong(EVACUATION_RETRY_AFTER_MILLIS, 2 * EVACUATION_RETRY_AFTER_MILLIS)
+        return Outcome.Failure(ResultCode.NO_UPSTREAM, "All replicas are in evacuated failure domains.", millis)
+    }
+
     private companion object {
         const val SPREAD_DIVISOR = 5
+
+        /** Minimum Retry-After while all replicas are evacuated; callers retry a refused request once. */
+        const val EVACUATION_RETRY_AFTER_MILLIS = 1_000L
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -50,6 +50,10 @@
             context.attemptLog += "no retry budget left"
             return null
         }
+        if (routing.evacuationRefusal(context.service, ReplicaStage.DECODE) != null) {
+            context.attemptLog += "all decode replicas are evacuated"
+            return null
+        }
         // Callers wait longer for an interrupted stream to resume than for a response to begin.
         val until = if (response.started) monotonicMillis() + RESUME_SLOT_WAIT_MILLIS else slotDeadlineMillis
         val target = slots.reserve(context, attempts.excluded, until, resumed = response.started)
@@ -211,6 +215,7 @@
         if (obstacle != null) {
             context.attemptLog += "decode ${state.replica.id} not sent, $obstacle"
             attempts.undelivered++
+            releaseReservation(target)
             return DecodeStepResult.NotRun
         }
         if (begun == null) context.recordSend()
