Keep requests with home regions in these regions

The configuration's allowedRegions of routes and tenants are intersected at admission. Each choice of a replica takes a filter, which also covers retries, hedges, failovers and resumptions. Lookups for a host whose routes have home regions name VMs of the caller's region or of these, and others only if none is ready there.

--- a/core/src/main/kotlin/fireflyhinge/forward/Admission.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/Admission.kt
@@ -5,6 +5,9 @@
 
 /** Result of admitting a request under one configuration version. [workspace] is null on a public route. */
 data class Admission(val route: ForwardRoute, val workspace: ForwardWorkspace?, val configVersion: Long) {
+    /** Regions whose replicas may serve the request; null if all may. */
+    val homeRegions: Set<String>? = homeRegions(listOf(route.allowedRegions, workspace?.allowedRegions.orEmpty()))
+
     /** Tokens charged to the workspace for the request. */
     fun cost(metadata: RequestMetadata): Int {
         val owner = workspace ?: return 0
@@ -16,11 +19,16 @@
         /** Finds the route of [uri] at [host] and the workspace that owns the API key in [metadata]. */
         fun of(config: ForwardConfig, host: String, uri: String, metadata: RequestMetadata): Outcome<Admission> {
             val route = config.table.find(host, uri) ?: return Outcome.Failure(ResultCode.UNKNOWN_ROUTE)
-            if (route.isPublic) return Outcome.Success(Admission(route, workspace = null, config.version))
+            if (route.isPublic) return located(Admission(route, workspace = null, config.version))
             val key = metadata.key ?: return Outcome.Failure(ResultCode.KEY_ABSENT)
             val owner = config.keys[key]?.let { config.workspaces[it] }
             owner ?: return Outcome.Failure(ResultCode.KEY_UNKNOWN)
-            return Outcome.Success(Admission(route, owner, config.version))
+            return located(Admission(route, owner, config.version))
+        }
+
+        private fun located(admission: Admission): Outcome<Admission> {
+            if (admission.homeRegions?.isEmpty() == true) return Outcome.Failure(ResultCode.NO_COMMON_REGION)
+            return Outcome.Success(admission)
         }
     }
 }
--- a/core/src/main/kotlin/fireflyhinge/forward/ForwardRoute.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ForwardRoute.kt
@@ -8,6 +8,7 @@
  * @property maxAttempts maximum number of replicas to which one request may be sent.
  * @property isPublic whether requests need no API key.
  * @property resumable whether an interrupted stream may resume at another replica.
+ * @property allowedRegions home regions: only replicas there may serve requests of the route; empty means all regions.
  */
 data class ForwardRoute(
     val name: String,
@@ -20,6 +21,7 @@
     val maxAttempts: Int = 1,
     val isPublic: Boolean = false,
     val resumable: Boolean = false,
+    val allowedRegions: Set<String> = emptySet(),
 ) {
     /** Whether a request may be retried after an attempt that may have run. */
     val retryable: Boolean get() = kind == CallKind.IDEMPOTENT || kind == CallKind.STREAM && resumable
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaSelector.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaSelector.kt
@@ -14,7 +14,8 @@
     private val random: Random = Random.Default,
 ) {
     /**
-     * Returns the best replica of [service] at [stage] that is not in [avoid]; null if there is none. With [near],
+     * Returns the best replica of [service] at [stage] that [filter] allows and that is not in [avoid]; null if there
+     * is none. With [near],
      * replicas close to that failure domain are preferred and those of other regions are excluded, because KV cache is
      * not transferred across regions.
      */
@@ -23,14 +24,23 @@
         stage: ReplicaStage,
         avoid: Set<String> = emptySet(),
         near: String? = null,
+        filter: ReplicaFilter = ReplicaFilter.ANY,
     ): ReplicaState? {
-        val all = table.usable(service, stage).filter { it.replica.id !in avoid }
+        val all = table.usable(service, stage).filter { it.replica.id !in avoid && filter.allows(it) }
         val reachable = if (near == null) all else all.filter { inRegion(it, near) }
         val healthy = reachable.filterNot { it.unresponsive }
         // Falls back to full replicas, which may queue the request, and then to unresponsive ones.
         return best(service, healthy.filterNot { it.full }.ifEmpty { healthy }.ifEmpty { reachable }, near)
     }
 
+    /** Allows the replicas in [regions]; null stands for all regions. */
+    fun within(regions: Set<String>?): ReplicaFilter =
+        if (regions == null) {
+            ReplicaFilter.ANY
+        } else {
+            ReplicaFilter { domains.regionOf(it.replica.failureDomain) in regions }
+        }
+
     /** Round-trip time to the replica of [state] on an idle path, in milliseconds. */
     fun roundTripMillis(state: ReplicaState): Long = domains.roundTripMillis(state.replica.failureDomain)
 
@@ -38,17 +48,24 @@
     fun inRegion(state: ReplicaState, near: String): Boolean = domains.distance(state.replica.failureDomain, near) < 2
 
     /**
-     * Returns the best decode replica of [service], not in [avoid], with capacity for [tokens]; null if there is none.
+     * Returns the best decode replica of [service] that [filter] allows, not in [avoid], with capacity for [tokens];
+     * null if there is none.
      * [resumed] responses, which continue at another replica, may use memory that is reserved from new ones.
      */
-    fun selectWithCapacity(service: String, tokens: Int, avoid: Set<String>, resumed: Boolean = false): ReplicaState? {
-        val all = table.usable(service, ReplicaStage.DECODE).filter { it.replica.id !in avoid }
+    fun selectWithCapacity(
+        service: String,
+        tokens: Int,
+        avoid: Set<String>,
+        resumed: Boolean = false,
+        filter: ReplicaFilter = ReplicaFilter.ANY,
+    ): ReplicaState? {
+        val all = table.usable(service, ReplicaStage.DECODE).filter { it.replica.id !in avoid && filter.allows(it) }
         val healthy = all.filterNot { it.unresponsive }.ifEmpty { all }.filterNot { it.full }
         val memory = (capacity(service) * if (resumed) 1.0 else USABLE_MEMORY_FRACTION).toInt()
         // A request that exceeds the capacity of every replica is tried at an empty one.
         val fitting = healthy.filter { it.availableTokens(memory) >= tokens || it.availableTokens(memory) >= memory }
         return fitting
-            .map { it to prefillCost(service, it) }
+            .map { it to prefillCost(service, it, filter) }
             .filterNot { (_, prefill) -> prefill >= PREFILL_COST_LIMIT && prefill < DECODE_PREFILL_COST }
             .minByOrNull { (state, prefill) -> prefill + costFrom(service, state) }
             ?.first
@@ -58,9 +75,9 @@
         load(service, state) + distanceCost(state, near = null) + random.nextDouble() * JITTER
 
     /** Cost of a prefill for [decode], whose KV cache must come from its own region. */
-    private fun prefillCost(service: String, decode: ReplicaState): Double {
+    private fun prefillCost(service: String, decode: ReplicaState, filter: ReplicaFilter): Double {
         val near = decode.replica.failureDomain
-        val prefill = select(service, ReplicaStage.PREFILL, near = near) ?: return DECODE_PREFILL_COST
+        val prefill = select(service, ReplicaStage.PREFILL, near = near, filter = filter) ?: return DECODE_PREFILL_COST
         if (prefill.unresponsive) return DECODE_PREFILL_COST
         return minOf(MAX_PREFILL_COST, prefill.cost(capacity(service)) * PREFILL_WEIGHT)
     }
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
@@ -32,19 +32,24 @@
     @Synchronized
     fun usable(state: ReplicaState): Boolean = states[state.replica.id] === state && state.accepting
 
-    /** Replicas of [service] at [stage] that stay but want no requests of this VM for a while. */
+    /** Replicas of [service] at [stage] that stay and that [filter] allows, but that want a pause from this VM. */
     @Synchronized
-    fun backingOff(service: String, stage: ReplicaStage): List<ReplicaState> =
-        listed(service, stage).filter { !it.leaving && !it.evacuated && it.availability.backoffMillis > 0 }
+    fun backingOff(
+        service: String,
+        stage: ReplicaStage,
+        filter: ReplicaFilter = ReplicaFilter.ANY,
+    ): List<ReplicaState> =
+        listed(service, stage)
+            .filter { filter.allows(it) && !it.leaving && !it.evacuated && it.availability.backoffMillis > 0 }
 
     /**
-     * Milliseconds until a replica of [service] at [stage] accepts requests again. Null if one does now, or if it is
-     * unknown when one will.
+     * Milliseconds until a replica of [service] at [stage] that [filter] allows accepts requests again. Null if one
+     * does now, or if it is unknown when one will.
      */
     @Synchronized
-    fun backoffMillis(service: String, stage: ReplicaStage): Long? =
-        if (usable(service, stage).isEmpty()) {
-            backingOff(service, stage).minOfOrNull { it.availability.backoffMillis }
+    fun backoffMillis(service: String, stage: ReplicaStage, filter: ReplicaFilter = ReplicaFilter.ANY): Long? =
+        if (usable(service, stage).none(filter::allows)) {
+            backingOff(service, stage, filter).minOfOrNull { it.availability.backoffMillis }
         } else {
             null
         }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/DiscoveryHandler.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/DiscoveryHandler.kt
@@ -10,10 +10,15 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import java.io.ByteArrayOutputStream
 
-/** Serves readiness checks, address lookups and metrics. */
+/**
+ * Serves readiness checks, address lookups and metrics.
+ *
+ * @param homeRegions regions that are allowed for the routes of a host; null if all are.
+ */
 internal class DiscoveryHandler(
     private val protocol: DiscoveryProtocol,
     private val addresses: GatewayAddressSelector,
+    private val homeRegions: (String) -> Set<String>?,
     private val ready: () -> Boolean,
     private val registry: PrometheusRegistry,
 ) : RequestHandler {
@@ -27,7 +32,8 @@
     }
 
     private suspend fun lookup(request: CallerRequest, response: ResponseWriter) {
-        val fronts = addresses.select(protocol.failureDomain(request.uri))
+        val query = protocol.query(request.uri)
+        val fronts = addresses.select(query.failureDomain, query.region, query.host?.let(homeRegions))
         // Callers ask another VM if this one returns no addresses.
         if (fronts.isEmpty()) return response.respond(UNAVAILABLE, DefaultHttpHeaders(), ByteArray(0))
         val headers = DefaultHttpHeaders().add(HttpHeaderNames.CONTENT_TYPE, "application/json")
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/DiscoveryProtocol.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/DiscoveryProtocol.kt
@@ -1,5 +1,7 @@
 package fireflyhinge.gateway
 
+import fireflyhinge.forward.AddressQuery
+
 /** Encodes the interface through which callers look up addresses of VMs and the platform checks readiness. */
 interface DiscoveryProtocol {
     /** Path of the readiness check. */
@@ -8,8 +10,8 @@
     /** Path of the address lookup. */
     val lookupPath: String
 
-    /** Failure domain named in the request target [uri] of a lookup, or null. */
-    fun failureDomain(uri: String): String?
+    /** What the request target [uri] of a lookup tells of the caller. */
+    fun query(uri: String): AddressQuery
 
     /** Body of the response to a lookup. */
     fun addresses(fronts: List<String>, ttlSeconds: Int): ByteArray
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -130,6 +130,8 @@
         DiscoveryHandler(
             protocols.discovery,
             GatewayAddressSelector(fleet, domains),
+            // Until the configuration is known, any host may have home regions.
+            { host -> config.let { if (it == null) emptySet() else it.table.homeRegions(host) } },
             ::ready,
             registry,
         ).let { handler ->
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
@@ -54,7 +54,7 @@
         while (true) {
             if (mayAttempt(context, attempts)) next(context, attempts)?.let { send(context, attempts, it) }
             if (attempts.race.size == 0) {
-                return attempts.failed { routing.withKnownRetryAfter(it, context.service, listOf(ReplicaStage.PLAIN)) }
+                return attempts.failed { routing.withKnownRetryAfter(it, context, listOf(ReplicaStage.PLAIN)) }
             }
             val sent = attempts.race.next(hedgeDelay(context, attempts))
             if (sent == null) {
@@ -66,7 +66,8 @@
     }
 
     private fun next(context: RequestContext, attempts: Attempts): ReplicaState? {
-        val state = routing.selector.select(context.service, ReplicaStage.PLAIN, attempts.excluded)
+        val filter = routing.filter(context)
+        val state = routing.selector.select(context.service, ReplicaStage.PLAIN, attempts.excluded, filter = filter)
         val repeated = attempts.sends > 0 || attempts.arrived
         return state?.takeIf { !repeated || routing.retries.tryAcquire(context.service) }
     }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
@@ -18,15 +18,16 @@
      */
     suspend fun run(context: RequestContext, near: String, retry: Boolean): PrefillResult {
         val avoid = HashSet<String>()
+        val filter = routing.filter(context)
         repeat(MAX_ATTEMPTS) { number ->
-            val state = routing.selector.select(context.service, ReplicaStage.PREFILL, avoid, near)
+            val state = routing.selector.select(context.service, ReplicaStage.PREFILL, avoid, near, filter)
             val listed = number > 0 || backingOff(context, near)
             state ?: return if (listed) PrefillResult.Failed else PrefillResult.NoReplica
             val again = retry || number > 0
             if (context.barred || again && !routing.retries.tryAcquire(context.service)) return PrefillResult.Failed
             avoid += state.replica.id
             val another = number + 1 < MAX_ATTEMPTS && routing.retries.isAvailable(context.service) &&
-                routing.selector.select(context.service, ReplicaStage.PREFILL, avoid, near) != null
+                routing.selector.select(context.service, ReplicaStage.PREFILL, avoid, near, filter) != null
             val timeout = if (another) RETRYABLE_TIMEOUT_MILLIS else LAST_TIMEOUT_MILLIS
             send(context, state, timeout)?.let { return PrefillResult.Completed(it) }
         }
@@ -35,7 +36,8 @@
 
     /** Whether there are prefill replicas in the region of [near] that want no requests for a while. */
     private fun backingOff(context: RequestContext, near: String): Boolean =
-        routing.table.backingOff(context.service, ReplicaStage.PREFILL).any { routing.selector.inRegion(it, near) }
+        routing.table.backingOff(context.service, ReplicaStage.PREFILL, routing.filter(context))
+            .any { routing.selector.inRegion(it, near) }
 
     private suspend fun send(context: RequestContext, state: ReplicaState, timeoutMillis: Long): KvCacheLocation? {
         val call =
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaRouting.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaRouting.kt
@@ -1,5 +1,6 @@
 package fireflyhinge.gateway.forward
 
+import fireflyhinge.forward.ReplicaFilter
 import fireflyhinge.forward.ReplicaSelector
 import fireflyhinge.forward.ReplicaStage
 import fireflyhinge.forward.ReplicaTable
@@ -12,26 +13,36 @@
 
 /** Replica table, replica selection and retry budget. */
 internal class ReplicaRouting(val table: ReplicaTable, val selector: ReplicaSelector, val retries: RetryBudgetShares) {
+    /** Restricts the replicas that may serve the request of [context]. */
+    fun filter(context: RequestContext): ReplicaFilter = selector.within(context.admission.homeRegions)
+
     /**
-     * Returns the refusal [failure] with a Retry-After that follows from the pauses that the replicas of [service] at
+     * Returns the refusal [failure] with a Retry-After that follows from the pauses that the replicas for [context] at
      * one of [stages] asked for, if they are why none accepts requests. Returns [failure] otherwise, and if the request
      * may have run. The first of [stages] is the one without which the service cannot run requests.
      */
-    fun withKnownRetryAfter(failure: Outcome.Failure, service: String, stages: List<ReplicaStage>): Outcome.Failure {
+    fun withKnownRetryAfter(
+        failure: Outcome.Failure,
+        context: RequestContext,
+        stages: List<ReplicaStage>,
+    ): Outcome.Failure {
         if (failure.code.run != ExecutionStatus.NOT_RUN) return failure
-        evacuationRefusal(service, stages.first())?.let { return it }
-        val backoff = stages.mapNotNull { table.backoffMillis(service, it) }.maxOrNull() ?: return failure
+        evacuationRefusal(context, stages.first())?.let { return it }
+        val filter = filter(context)
+        val backoffs = stages.mapNotNull { table.backoffMillis(context.service, it, filter) }
+        val backoff = backoffs.maxOrNull() ?: return failure
         // Spreads the callers' retries.
         val millis = backoff + Random.nextLong(backoff / SPREAD_DIVISOR + 1)
         return Outcome.Failure(ResultCode.CAPACITY_EXHAUSTED, failure.detail, millis)
     }
 
     /**
-     * Returns the refusal of a request for [service] if all its replicas at [stage] are in evacuated failure domains;
-     * null otherwise. An evacuation lasts for seconds or longer, and the random delay spreads the callers' retries.
+     * Returns the refusal of the request of [context] if all replicas for it at [stage] are in evacuated failure
+     * domains; null otherwise. An evacuation lasts for seconds or longer, and the random delay spreads the callers'
+     * retries.
      */
-    fun evacuationRefusal(service: String, stage: ReplicaStage): Outcome.Failure? {
-        if (!table.allEvacuated(service, stage)) return null
+    fun evacuationRefusal(context: RequestContext, stage: ReplicaStage): Outcome.Failure? {
+        if (!table.allEvacuated(context.service, stage, filter(context))) return null
         val millis = Random.nextLong(EVACUATION_RETRY_AFTER_MILLIS, 2 * EVACUATION_RETRY_AFTER_MILLIS)
         return Outcome.Failure(ResultCode.NO_UPSTREAM, "All replicas are in evacuated failure domains.", millis)
     }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/SlotReserver.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/SlotReserver.kt
@@ -23,14 +23,16 @@
         resumed: Boolean,
     ): DecodeTarget? {
         val tokens = context.metadata.expectedKvTokens
+        val filter = routing.filter(context)
         val unresponsive = HashSet<String>()
         val unresponsiveUntil = monotonicMillis() + ReplicaTimeouts.HEALTHY_PAUSE_MILLIS
         var until = untilMillis
         while (true) {
-            val state = routing.selector.selectWithCapacity(context.service, tokens, excluded + unresponsive, resumed)
+            val avoid = excluded + unresponsive
+            val state = routing.selector.selectWithCapacity(context.service, tokens, avoid, resumed, filter)
             when (val response = state?.let { reserve(it, tokens) }) {
                 null -> {
-                    val pause = routing.table.backoffMillis(context.service, ReplicaStage.DECODE) ?: 0
+                    val pause = routing.table.backoffMillis(context.service, ReplicaStage.DECODE, filter) ?: 0
                     if (monotonicMillis() + maxOf(pause, POLL_MILLIS) > until) return null
                     delay(POLL_MILLIS)
                     unresponsive.clear()
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -34,7 +34,7 @@
             val failure = attempts.lastFailure
             if (response.started) return ForwardResult.Interrupted(failure.detail.ifEmpty { failure.code.text })
             val stages = listOf(ReplicaStage.DECODE, ReplicaStage.PREFILL)
-            return ForwardResult.Failed(routing.withKnownRetryAfter(failure, context.service, stages))
+            return ForwardResult.Failed(routing.withKnownRetryAfter(failure, context, stages))
         } finally {
             discard(context, attempts)
         }
@@ -50,7 +50,7 @@
             context.attemptLog += "no retry budget left"
             return null
         }
-        if (routing.evacuationRefusal(context.service, ReplicaStage.DECODE) != null) {
+        if (routing.evacuationRefusal(context, ReplicaStage.DECODE) != null) {
             context.attemptLog += "all decode replicas are evacuated"
             return null
         }
