--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
@@ -4,8 +4,18 @@
 import fireflyhinge.time.millis
 import kotlin.math.exp
 
-/** Load and health of one replica as seen by this VM. Thread-safe. */
-class ReplicaState(replica: Replica, private val clock: MonotonicClock, startAgeMillis: Long? = null) {
+/**
+ * Load and health of one replica as seen by this VM. Thread-safe.
+ *
+ * @param startAgeMillis time since the replica's start when it was first listed, or null if unknown.
+ * @param isEvacuated whether a failure domain is evacuated now.
+ */
+class ReplicaState(
+    replica: Replica,
+    private val clock: MonotonicClock,
+    startAgeMillis: Long? = null,
+    private val isEvacuated: (String) -> Boolean = { false },
+) {
     /** For how long the replica is cold. */
     val warmth = ReplicaWarmth(clock, startAgeMillis).also { state -> replica.coldLeftMillis?.let(state::recordCold) }
 
@@ -100,8 +110,12 @@
     /** Whether the replica is listed as leaving or announced it. That holds until its process ends. */
     val leaving: Boolean get() = replica.leaving || availability.leaving
 
+    /** Whether the replica's failure domain is evacuated, so that nothing new may be sent to the replica. */
+    val evacuated: Boolean get() = isEvacuated(replica.failureDomain)
+
     /** Whether the replica accepts new requests of this VM. */
-    val accepting: Boolean get() = !leaving && !availability.replaced && availability.backoffMillis == 0L
+    val accepting: Boolean
+        get() = !leaving && !evacuated && !availability.replaced && availability.backoffMillis == 0L
 
     /** Whether the replica is in backoff because it recently did not respond. */
     val unresponsive: Boolean @Synchronized get() = health.inBackoff(clock.millis())
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
@@ -9,6 +9,10 @@
 ) {
     private var states = emptyMap<String, ReplicaState>()
 
+    /** Failure domains to whose replicas nothing new may be sent. */
+    @Volatile
+    var evacuatedDomains = emptySet<String>()
+
     /** Replicas whose entries are gone although their processes may run on, oldest first; entries may return. */
     private val unlisted = LinkedHashMap<String, ReplicaState>()
 
@@ -31,24 +35,31 @@
     @Synchronized
     fun usable(state: ReplicaState): Boolean = states[state.replica.id] === state && state.accepting
 
-    /** Replicas of [service] at [stage] that stay but want no requests of this VM for a while. */
+    /** Replicas of [service] at [stage] that stay and that [filter] allows, but that want a pause from this VM. */
     @Synchronized
-    fun backingOff(service: String, stage: ReplicaStage): List<ReplicaState> =
-        listed(service, stage).filter { !it.leaving && it.availability.backoffMillis > 0 }
+    fun backingOff(
+        service: String,
+        stage: ReplicaStage,
+        filter: ReplicaFilter = ReplicaFilter.ANY,
+    ): List<ReplicaState> =
+        listed(service, stage)
+            .filter { filter.allows(it) && !it.leaving && !it.evacuated && it.availability.backoffMillis > 0 }
 
     /**
-     * Milliseconds until a replica of [service] at [stage] accepts requests again. Null if one does now, or if it is
-     * unknown when one will.
+     * Milliseconds until a replica of [service] at [stage] that [filter] allows accepts requests again. Null if one
+     * does now, or if it is unknown when one will.
      */
     @Synchronized
-    fun backoffMillis(service: String, stage: ReplicaStage): Long? =
-        if (usable(service, stage).isEmpty()) {
-            backingOff(service, stage).minOfOrNull { it.availability.backoffMillis }
+    fun backoffMillis(service: String, stage: ReplicaStage, filter: ReplicaFilter = ReplicaFilter.ANY): Long? =
+        if (usable(service, stage).none(filter::allows)) {
+            backingOff(service, stage, filter).minOfOrNull { it.availability.backoffMillis }
         } else {
             null
         }
 
-    private fun listed(service: String, stage: ReplicaStage) =
+    /** All listed replicas of [service] at [stage]. */
+    @Synchronized
+    internal fun listed(service: String, stage: ReplicaStage): List<ReplicaState> =
         states.values.filter { it.replica.service == service && it.replica.stage == stage }
 
     /** Tokens of this VM at each replica; replicas without tokens are omitted. */
@@ -87,7 +98,7 @@
         if (!same) {
             // Clocks of machines differ a little, so a start in the future was just now.
             val age = replica.startedAt.takeIf { it > 0 }?.let { maxOf(0, wallMillis() - it) }
-            return ReplicaState(replica, clock, age)
+            return ReplicaState(replica, clock, age) { it in evacuatedDomains }
         }
         known.replica = replica
         return known
--- a/core/src/main/kotlin/fireflyhinge/forward/StoreObjectKind.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/StoreObjectKind.kt
@@ -17,4 +17,7 @@
 
     /** Evidence on traits of requests that crash replicas. */
     CRASHES,
+
+    /** Evacuated failure domains. */
+    EVACUATIONS,
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -25,6 +25,7 @@
 import fireflyhinge.gateway.fleet.CheckerSelector
 import fireflyhinge.gateway.fleet.ControlHandler
 import fireflyhinge.gateway.fleet.CopyExchange
+import fireflyhinge.gateway.fleet.EvacuationGuard
 import fireflyhinge.gateway.fleet.EvidenceBroadcaster
 import fireflyhinge.gateway.fleet.EvidenceStore
 import fireflyhinge.gateway.fleet.FleetUpdates
@@ -87,12 +88,18 @@
     private val checker = CheckerSelector(fleet, domains)
     private val configMirror =
         StoreMirror(StoreObjectKind.CONFIGURATION, store, io.scope, checker::isSelf, ::applyConfig)
-    private val replicaMirror = StoreMirror(StoreObjectKind.REPLICAS, store, io.scope, checker::isSelf, ::applyReplicas)
+    private val replicaMirror: StoreMirror =
+        StoreMirror(StoreObjectKind.REPLICAS, store, io.scope, checker::isSelf) { applyReplicas() }
     private val evidence = CrashEvidence()
     private val evidenceStore = EvidenceStore(evidence, fleet, store)
     private val evidenceMirror =
         StoreMirror(StoreObjectKind.CRASHES, store, io.scope, checker::isSelf, evidenceStore::read)
-    private val mirrors = listOf(configMirror, replicaMirror, evidenceMirror)
+    private val evacuations = EvacuationGuard(table, settings.evacuationMillis, registry, ::applyReplicas)
+    private val evacuationMirror =
+        settings.evacuationMillis?.let {
+            StoreMirror(StoreObjectKind.EVACUATIONS, store, io.scope, checker::isSelf, evacuations::apply)
+        }
+    private val mirrors = listOfNotNull(configMirror, replicaMirror, evidenceMirror, evacuationMirror)
     private val peerPool = ConnectionPool(io, defaultIdleLimitMillis = PEER_IDLE_MILLIS, held = held)
     private val peers = PeerClient(HttpClient(peerPool))
     private val updates = FleetUpdates(fleet, table, ::ready)
@@ -195,6 +202,8 @@
         DiscoveryHandler(
             protocols.discovery,
             GatewayAddressSelector(fleet, domains),
+            // Until the configuration is known, any host may have home regions.
+            { host -> config.let { if (it == null) emptySet() else it.table.homeRegions(host) } },
             ::ready,
             registry,
         ).let { handler ->
@@ -214,6 +223,7 @@
         quotaHolders.listening()
         io.scope.launch { quotaProber.run() }
         io.scope.launch { discoverFleet() }
+        io.scope.launch { evacuations.awaitFirst() }
         mirrors.forEach { mirror -> io.scope.launch { mirror.run() } }
         io.scope.launch { gossip.run() }
         io.scope.launch { copies.run() }
@@ -280,7 +290,7 @@
         ownEntry.run(confirmedEra)
     }
 
-    private fun ready(): Boolean = !front.draining && config != null && replicaMirror.revision > 0
+    private fun ready(): Boolean = !front.draining && config != null && replicaMirror.revision > 0 && evacuations.known
 
     private fun fleetKnown() =
         fleetListed || gossip.answered > 0 || monotonicMillis() - startedAt > UNKNOWN_FLEET_MILLIS
@@ -306,8 +316,9 @@
             .log("configured")
     }
 
-    private fun applyReplicas(state: StoreObjectCache) {
-        val replicas = protocols.storeObjects.replicas(state.items().values)
+    private fun applyReplicas() {
+        if (!evacuations.known) return
+        val replicas = protocols.storeObjects.replicas(replicaMirror.state.items().values)
         table.replace(replicas)
         log.atInfo().addKeyValue("replicas", replicas.map { it.toLogText() })
             .log("replicas listed")
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/GatewaySettings.kt
@@ -20,6 +20,7 @@
  * @property firstStart whether the whole system is started for the first time.
  * @property stopMillis milliseconds from SIGTERM until the process is killed.
  * @property contactMillis milliseconds after a restore of the store from which on the operator's objects are complete.
+ * @property evacuationMillis milliseconds within which an evacuation must take effect; null in a fleet without them.
  */
 data class GatewaySettings(
     val vm: String,
@@ -36,4 +37,5 @@
     val retries: RetryBounds = RetryBounds(),
     val contactMillis: Long = StoreEras.DEFAULT_CONTACT_MILLIS,
     val cold: ColdBounds = ColdBounds(),
+    val evacuationMillis: Long? = null,
 )
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
@@ -54,7 +54,7 @@
         while (true) {
             if (mayAttempt(context, attempts)) next(context, attempts)?.let { send(context, attempts, it) }
             if (attempts.race.size == 0) {
-                return attempts.failed { routing.withKnownRetryAfter(it, context.service, listOf(ReplicaStage.PLAIN)) }
+                return attempts.failed { routing.withKnownRetryAfter(it, context, listOf(ReplicaStage.PLAIN)) }
             }
             val sent = attempts.race.next(hedgeDelay(context, attempts))
             if (sent == null) {
@@ -66,13 +66,19 @@
     }
 
     private suspend fun next(context: RequestContext, attempts: Attempts): ReplicaState? {
-        var state = routing.selector.select(context.service, ReplicaStage.PLAIN, attempts.excluded)
+        val filter = routing.filter(context)
+        val select = {
+            routing.selector.select(context.service, ReplicaStage.PLAIN, attempts.excluded, filter = filter)
+        }
+        var state = select()
         // While a send is in progress, its response is awaited instead.
         if (attempts.race.size == 0) {
-            while (state == null && routing.cold.await(context, ReplicaStage.PLAIN, attempts.excluded)) {
-                state = routing.selector.select(context.service, ReplicaStage.PLAIN, attempts.excluded)
+            val cold = routing.cold
+            while (state == null && cold.await(context, ReplicaStage.PLAIN, attempts.excluded, filter::allows)) {
+                state = select()
             }
-            val blocked = state == null && routing.cold.blocks(context, ReplicaStage.PLAIN, attempts.excluded)
+            val blocked =
+                state == null && cold.blocks(context, ReplicaStage.PLAIN, attempts.excluded, filter::allows)
             if (blocked && !attempts.arrived) attempts.lastFailure = ColdSends.refusal()
         }
         val repeated = attempts.sends > 0 || attempts.arrived
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
@@ -36,7 +36,7 @@
     /** Time for the attempt with [number], before the prompt is sent to a replica that is not in [avoid]. */
     private fun timeoutMillis(context: RequestContext, number: Int, avoid: Set<String>, near: String): Long {
         val another = number + 1 < MAX_ATTEMPTS && routing.retries.isAvailable(context.service) &&
-            routing.selector.select(context.service, ReplicaStage.PREFILL, avoid, near) != null
+            select(context, avoid, near) != null
         if (!another) return PrefillTimeout.LAST_MILLIS
         val elapsed = monotonicMillis() - context.request.arrivedMillis
         return PrefillTimeout.retryableMillis(context.admission.route.objectiveMillis - elapsed)
@@ -45,20 +45,26 @@
     /** Selects a prefill replica near [near]; waits for the budget of cold ones if there are no others. */
     private suspend fun next(context: RequestContext, avoid: Set<String>, near: String): ReplicaState? {
         while (true) {
-            val state = routing.selector.select(context.service, ReplicaStage.PREFILL, avoid, near)
-            val waited = state == null && routing.cold.await(context, ReplicaStage.PREFILL, avoid) { isNear(it, near) }
+            val state = select(context, avoid, near)
+            val reachable = { one: ReplicaState -> isReachable(context, one, near) }
+            val waited = state == null && routing.cold.await(context, ReplicaStage.PREFILL, avoid, reachable)
             if (!waited) return state
         }
     }
 
     private fun coldBlocks(context: RequestContext, avoid: Set<String>, near: String): Boolean =
-        routing.cold.blocks(context, ReplicaStage.PREFILL, avoid) { isNear(it, near) }
+        routing.cold.blocks(context, ReplicaStage.PREFILL, avoid) { isReachable(context, it, near) }
 
-    private fun isNear(state: ReplicaState, near: String): Boolean = routing.selector.inRegion(state, near)
+    private fun isReachable(context: RequestContext, state: ReplicaState, near: String): Boolean =
+        routing.selector.inRegion(state, near) && routing.filter(context).allows(state)
+
+    private fun select(context: RequestContext, avoid: Set<String>, near: String): ReplicaState? =
+        routing.selector.select(context.service, ReplicaStage.PREFILL, avoid, near, routing.filter(context))
 
     /** Whether there are prefill replicas in the region of [near] that want no requests for a while. */
     private fun backingOff(context: RequestContext, near: String): Boolean =
-        routing.table.backingOff(context.service, ReplicaStage.PREFILL).any { routing.selector.inRegion(it, near) }
+        routing.table.backingOff(context.service, ReplicaStage.PREFILL, routing.filter(context))
+            .any { routing.selector.inRegion(it, near) }
 
     private suspend fun send(context: RequestContext, state: ReplicaState, timeoutMillis: Long): KvCacheLocation? {
         val call =
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaRouting.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaRouting.kt
@@ -1,9 +1,11 @@
 package fireflyhinge.gateway.forward
 
+import fireflyhinge.forward.ReplicaFilter
 import fireflyhinge.forward.ReplicaSelector
 import fireflyhinge.forward.ReplicaStage
 import fireflyhinge.forward.ReplicaTable
 import fireflyhinge.forward.RetryBudgetShares
+import fireflyhinge.forward.allEvacuated
 import fireflyhinge.result.ExecutionStatus
 import fireflyhinge.result.Outcome
 import fireflyhinge.result.ResultCode
@@ -16,20 +18,44 @@
     val retries: RetryBudgetShares,
     val cold: ColdSends,
 ) {
+    /** Restricts the replicas that may serve the request of [context]. */
+    fun filter(context: RequestContext): ReplicaFilter = selector.within(context.admission.homeRegions)
+
     /**
-     * Returns the refusal [failure] with a Retry-After that follows from the pauses that the replicas of [service] at
+     * Returns the refusal [failure] with a Retry-After that follows from the pauses that the replicas for [context] at
      * one of [stages] asked for, if they are why none accepts requests. Returns [failure] otherwise, and if the request
-     * may have run.
+     * may have run. The first of [stages] is the one without which the service cannot run requests.
      */
-    fun withKnownRetryAfter(failure: Outcome.Failure, service: String, stages: List<ReplicaStage>): Outcome.Failure {
+    fun withKnownRetryAfter(
+        failure: Outcome.Failure,
+        context: RequestContext,
+        stages: List<ReplicaStage>,
+    ): Outcome.Failure {
         if (failure.code.run != ExecutionStatus.NOT_RUN) return failure
-        val backoff = stages.mapNotNull { table.backoffMillis(service, it) }.maxOrNull() ?: return failure
+        evacuationRefusal(context, stages.first())?.let { return it }
+        val filter = filter(context)
+        val backoffs = stages.mapNotNull { table.backoffMillis(context.service, it, filter) }
+        val backoff = backoffs.maxOrNull() ?: return failure
         // Spreads the callers' retries.
         val millis = backoff + Random.nextLong(backoff / SPREAD_DIVISOR + 1)
         return Outcome.Failure(ResultCode.CAPACITY_EXHAUSTED, failure.detail, millis)
     }
 
+    /**
+     * Returns the refusal of the request of [context] if all replicas for it at [stage] are in evacuated failure
+     * domains; null otherwise. An evacuation lasts for seconds or longer, and the random delay spreads the callers'
+     * retries.
+     */
+    fun evacuationRefusal(context: RequestContext, stage: ReplicaStage): Outcome.Failure? {
+        if (!table.allEvacuated(context.service, stage, filter(context))) return null
+        val millis = Random.nextLong(EVACUATION_RETRY_AFTER_MILLIS, 2 * EVACUATION_RETRY_AFTER_MILLIS)
+        return Outcome.Failure(ResultCode.NO_UPSTREAM, "All replicas are in evacuated failure domains.", millis)
+    }
+
     private companion object {
         const val SPREAD_DIVISOR = 5
+
+        /** Minimum Retry-After while all replicas are evacuated; callers retry a refused request once. */
+        const val EVACUATION_RETRY_AFTER_MILLIS = 1_000L
     }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -34,7 +34,7 @@
             val failure = attempts.lastFailure
             if (response.started) return ForwardResult.Interrupted(failure.detail.ifEmpty { failure.code.text })
             val stages = listOf(ReplicaStage.DECODE, ReplicaStage.PREFILL)
-            return ForwardResult.Failed(routing.withKnownRetryAfter(failure, context.service, stages))
+            return ForwardResult.Failed(routing.withKnownRetryAfter(failure, context, stages))
         } finally {
             discard(context, attempts)
         }
@@ -50,6 +50,10 @@
             context.attemptLog += "no retry budget left"
             return null
         }
+        if (routing.evacuationRefusal(context, ReplicaStage.DECODE) != null) {
+            context.attemptLog += "all decode replicas are evacuated"
+            return null
+        }
         // Callers wait longer for an interrupted stream to resume than for a response to begin.
         val until = if (response.started) monotonicMillis() + RESUME_SLOT_WAIT_MILLIS else slotDeadlineMillis
         val target =
@@ -219,6 +223,7 @@
         if (obstacle != null) {
             context.attemptLog += "decode ${state.replica.id} not sent, $obstacle"
             attempts.undelivered++
+            releaseReservation(target)
             return DecodeStepResult.NotRun
         }
         if (begun == null) context.recordSend()
