--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
@@ -115,6 +115,10 @@
         assertEquals(copies, PeerMessages.exchange(encoded).copies)
         val listing = StoreReadResult.Listing(listOf(StoreItem("a", 3, "{}")), 4, era = 2)
         assertEquals(listing, PeerMessages.listing(PeerMessages.encode(listing)))
+        assertEquals(
+            """{"revision":4,"era":2,"items":[{"name":"a","revision":3,"body":"{}"}]}""",
+            PeerMessages.encode(listing).decodeToString(),
+        )
         val odd = listOf("-1", "1e400", "\"2\"", "null", "{}", "9223372036854775808")
         val eras =
             odd.map { era ->
