--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -113,7 +113,7 @@
             },
         )
     private val retries =
-        RetryBudgetShares(settings.retries) {
+        RetryBudgetShares(settings.retries, restarted = !settings.firstStart) {
             if (fleetKnown()) fleet.quotaMembers().size else maxOf(fleet.quotaMembers().size, ASSUMED_VMS)
         }
     private val routing = ReplicaRouting(table, ReplicaSelector(table, domains, ::memoryOf), retries)
@@ -281,8 +281,8 @@
         const val PEER_IDLE_MILLIS = 10_000L
         const val REGISTER_PAUSE_MILLIS = 1_000L
 
-        /** Number of VMs assumed to share limits while no other is known, for at most [UNKNOWN_FLEET_MILLIS]. */
-        const val ASSUMED_VMS = 16
+        /** Number of VMs assumed to share the retry budget while none is known, for [UNKNOWN_FLEET_MILLIS] at most. */
+        const val ASSUMED_VMS = 64
         const val UNKNOWN_FLEET_MILLIS = 3_000L
 
         fun record(settings: GatewaySettings) =
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerQuotaBorrower.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerQuotaBorrower.kt
@@ -125,7 +125,7 @@
         /** VMs asked beyond the holders while those refuse connections; a refusal takes about a millisecond. */
         private const val MAX_SPARES = 24
 
-        /** Pauses of a small VM, of which 150 ms covered the path between regions as well. */
-        private const val WORK_MILLIS = 90L
+        /** Work and pauses of a small VM; the limit of all loans before the path was added to it. */
+        private const val WORK_MILLIS = 150L
     }
 }
