Share the measured prefill rates of replicas between VMs

One VM sends a replica a prompt every half minute, too seldom to learn its speed, and the failure domain of the decode replica weighed as much as a wait of 90 ms, though the KV cache moves to the next domain within milliseconds.

VMs of large fleets now exchange the highest recent rate of each prefill replica, in tokens per millisecond (field prefill_rates, which old builds ignore). A replica is drawn in proportion to its rate, and its expected wait is longer if it is slow. In these fleets the distance within a region costs a tenth of what it did.

--- a/core/src/main/kotlin/fireflyhinge/forward/EvenLoadPolicy.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/EvenLoadPolicy.kt
@@ -28,7 +28,7 @@
         for (i in costs.indices) {
             val penalty = candidates[i].penalty
             val cost = (costs[i] - penalty - least) / LOAD_SCALE + penalty / PENALTY_SCALE
-            total += capacityOf(estimates[i], service) * exp(-cost)
+            total += capacityOf(candidates[i], estimates[i], service) * exp(-cost)
             cumulative[i] = total
         }
         // What the request itself adds to the load: much at a replica with few slots.
@@ -66,8 +66,13 @@
         return if (samples > 0) estimates.sumOf { it.serviceMillis * it.samples } / samples else 1.0
     }
 
-    /** Slots by relative speed. Few measurements count little against the mean [service]. */
-    private fun capacityOf(estimate: ReplicaLoadEstimate.Snapshot, service: Double): Double {
+    /** Slots by relative speed. Few own measurements count little against the mean [service]. */
+    private fun capacityOf(
+        candidate: SelectionPolicy.Candidate,
+        estimate: ReplicaLoadEstimate.Snapshot,
+        service: Double,
+    ): Double {
+        candidate.state.tokensPerMilli?.let { return estimate.slots * it / USUAL_TOKENS_PER_MILLI / estimate.pace }
         val own = (service * PRIOR_SAMPLES + estimate.serviceMillis * estimate.samples) /
             (PRIOR_SAMPLES + estimate.samples)
         val speed = if (own > 0) (service / own).coerceIn(1 / MAX_SPEED, MAX_SPEED) else 1.0
@@ -93,6 +98,9 @@
         /** Own measurements needed to outweigh the mean of all replicas. */
         const val PRIOR_SAMPLES = 3.0
 
+        /** Rate of a prefill replica with the same capacity as one without measurements. */
+        const val USUAL_TOKENS_PER_MILLI = 50.0
+
         /** Bounds the effect of false measurements. */
         const val MAX_SPEED = 4.0
     }
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaSelector.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaSelector.kt
@@ -119,7 +119,10 @@
 
     private fun distanceCost(state: ReplicaState, near: String?): Double {
         val domain = state.replica.failureDomain
-        val distance = if (near == null) domains.distance(domain) else domains.distance(domain, near)
+        if (near == null) return DISTANCE_COST[domains.distance(domain)]
+        val distance = domains.distance(domain, near)
+        // The KV cache moves between failure domains of a region within milliseconds; a queue takes far longer.
+        if (policy().sharesPrefillCosts && distance == 1) return NEAR_PREFILL_COST
         return DISTANCE_COST[distance]
     }
 
@@ -133,6 +136,9 @@
          */
         val DISTANCE_COST = doubleArrayOf(0.0, 0.1, 0.3)
 
+        /** Prefers the failure domain of the decode replica among prefill replicas with the same load. */
+        const val NEAR_PREFILL_COST = 0.01
+
         /**
          * Higher than any load: without a prefill replica the decode replica prefills the prompt itself, which delays
          * all of its responses. Such a replica looks idle only because no prompts are prefilled for it.
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
@@ -14,6 +14,7 @@
     replica: Replica,
     private val clock: MonotonicClock,
     startAgeMillis: Long? = null,
+    private val prefillRates: PrefillRates = PrefillRates(clock),
     private val isEvacuated: (String) -> Boolean = { false },
 ) {
     /** For how long the replica is cold. */
@@ -77,13 +78,17 @@
         remoteTokens = tokens
     }
 
-    /** Records a prefill of [tokens] that completed after [elapsedMillis] or timed out then. */
+    /** Records a prefill of [tokens] that completed after [elapsedMillis] or, if not [completed], timed out then. */
     @Synchronized
-    fun recordPrefill(tokens: Int, elapsedMillis: Long) {
+    fun recordPrefill(tokens: Int, elapsedMillis: Long, completed: Boolean = true) {
+        if (completed) prefillRates.record(replica.id, tokens, elapsedMillis)
         prefill.read(tokens, elapsedMillis, clock.millis())
         if (tokens >= MIN_SPEED_TOKENS) estimate.served(elapsedMillis * SPEED_TOKENS / tokens)
     }
 
+    /** Rate at which the replica prefills prompts, as measured by all VMs; null if unknown. */
+    val tokensPerMilli: Double? get() = prefillRates.tokensPerMilli(replica.id)
+
     /** The load that the replica reported most recently, or null. */
     val reportedLoad: ReplicaLoad? @Synchronized get() = load
 
@@ -144,7 +149,7 @@
         val load =
             when (replica.stage) {
                 ReplicaStage.PREFILL -> {
-                    val wait = prefill.wait(ownTokens, remoteTokens, clock.millis())
+                    val wait = prefill.wait(ownTokens, remoteTokens, clock.millis(), tokensPerMilli)
                     maxOf(wait, fill * PROMPT_OBJECTIVES) * (expected?.pace ?: 1.0)
                 }
                 ReplicaStage.DECODE -> maxOf((ownTokens + remoteTokens).toDouble() / maxOf(1, capacity), fill)
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
@@ -6,6 +6,7 @@
 class ReplicaTable(
     private val clock: MonotonicClock = MonotonicClock.SYSTEM,
     private val wallMillis: () -> Long = System::currentTimeMillis,
+    private val prefillRates: PrefillRates = PrefillRates(clock),
 ) {
     private var states = emptyMap<String, ReplicaState>()
 
@@ -98,7 +99,7 @@
         if (!same) {
             // Clocks of machines differ a little, so a start in the future was just now.
             val age = replica.startedAt.takeIf { it > 0 }?.let { maxOf(0, wallMillis() - it) }
-            return ReplicaState(replica, clock, age) { it in evacuatedDomains }
+            return ReplicaState(replica, clock, age, prefillRates) { it in evacuatedDomains }
         }
         known.replica = replica
         return known
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -11,6 +11,7 @@
 import fireflyhinge.forward.ForwardConfig
 import fireflyhinge.forward.GatewayAddressSelector
 import fireflyhinge.forward.HeldBytesLimits
+import fireflyhinge.forward.PrefillRates
 import fireflyhinge.forward.QuotaHolders
 import fireflyhinge.forward.QuotaShares
 import fireflyhinge.forward.QuotaStartCredit
@@ -80,7 +81,8 @@
     private val held = HeldMemory(io.loop, heldLimits, registry)
     private val domains = FailureDomains(settings.failureDomain, settings.regions)
     private val fleet = FleetView(record(settings))
-    private val table = ReplicaTable()
+    private val prefillRates = PrefillRates(enabled = { fleet.exchangeIntervalFactor > 1 })
+    private val table = ReplicaTable(prefillRates = prefillRates)
     private val era = KnownEra(StoreEras(settings.contactMillis))
     private val store =
         protocols.store(StoreHttpClient(HttpClient(ConnectionPool(io, held = held)), settings.store, era))
@@ -104,7 +106,7 @@
     private val peers = PeerClient(HttpClient(peerPool))
     private val updates = FleetUpdates(fleet, table, ::ready)
     private val copies = CopyExchange(mirrors, peers, io.scope, checker::other)
-    private val gossip = Gossip(domains, peers, copies, { this.settings.seeds }, updates, evidence)
+    private val gossip = Gossip(domains, peers, copies, { this.settings.seeds }, updates, evidence, prefillRates)
     private val evidenceBroadcaster = EvidenceBroadcaster(evidence, fleet, peers, io.scope)
     private val guard = CrashGuard(evidence, registry)
     private val downVms = DownVms(fleet)
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
@@ -2,6 +2,7 @@
 
 import fireflyhinge.forward.CrashEvidence
 import fireflyhinge.forward.FailureDomains
+import fireflyhinge.forward.PrefillRates
 import fireflyhinge.gateway.http.ConnectFailedException
 import fireflyhinge.gateway.http.monotonicMillis
 import fireflyhinge.gateway.repeatForever
@@ -21,6 +22,7 @@
     private val seeds: () -> List<String>,
     private val updates: FleetUpdates,
     private val evidence: CrashEvidence,
+    private val prefillRates: PrefillRates = PrefillRates(),
 ) {
     private val log = LoggerFactory.getLogger(javaClass)
     private val fleet = updates.fleet
@@ -98,7 +100,7 @@
 
     /** The state that this VM sends to others. */
     fun localState() =
-        PeerStateMessage(fleet.all(), copies.versions(), evidence.recent())
+        PeerStateMessage(fleet.all(), copies.versions(), evidence.recent(), prefillRates.report())
 
     /** Applies the state [theirs] of another VM and returns this VM's own. */
     fun received(theirs: PeerStateMessage): PeerStateMessage {
@@ -110,6 +112,7 @@
     private fun merge(theirs: PeerStateMessage) {
         updates.merge(theirs.vms)
         evidence.merge(theirs.evidence)
+        prefillRates.merge(theirs.prefillRates)
     }
 
     companion object {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
@@ -83,7 +83,8 @@
             ?.let { sender.cache(state.replica.address, it.body) }
         val outcome = if (cache == null) describe(result) else "ok"
         context.attemptLog += "prefill ${state.replica.id} $outcome ${monotonicMillis() - began} ms, load $load"
-        if (cache != null || result is SendResult.NoResponse) state.recordPrefill(tokens, monotonicMillis() - began)
+        val elapsed = monotonicMillis() - began
+        if (cache != null || result is SendResult.NoResponse) state.recordPrefill(tokens, elapsed, cache != null)
         if (result is SendResult.NoResponse && result.brokenOff) {
             crashes.record(state, BrokenRun(context, settled = false))
         }
