Let model requests of large fleets wait for capacity in a common queue

While all decode replicas were full, each VM of a fleet polled them every 50 ms and refused its requests at 0.8 of the target, in no common order.

In fleets of more than 24 VMs, a request that two replicas refused now waits at the owner of the queue of its service and region, the first ready VM in the fleet's common order: a long poll over the control port, offers that the VM turns into a reservation, and reports of ended runs while requests wait. The replica's answer remains final. A late request waits on until 0.75 of the time after which callers leave. If an owner does not answer or has an old build, the request asks the next owner once and then polls as before. Large regions have several queues. docs/design/request-queue.md has the alternatives and the expected messages, which were not measured on VMs.

QueueWaiterTest: owner killed, frozen and resumed, replies lost, results lost, duplicate calls, two owners, old build, caller gone. QueuedModelCallTest: in a fleet of 31 VMs a request with a target of 300 ms whose replica is full for 500 ms is served; in a small fleet it is refused with 503 as before.

--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaSelector.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaSelector.kt
@@ -49,11 +49,15 @@
         val fitting = healthy.filter { it.availableTokens(memory) >= tokens || it.availableTokens(memory) >= memory }
         return fitting
             .map { it to prefillCost(service, it) }
-            .filterNot { (_, prefill) -> prefill >= PREFILL_COST_LIMIT && prefill < DECODE_PREFILL_COST }
+            .filterNot { (_, prefill) -> isPrefillOverloaded(prefill) }
             .minByOrNull { (state, prefill) -> prefill + costFrom(service, state) }
             ?.first
     }
 
+    /** Whether a prompt for the decode replica of [state] would be prefilled within its objective. */
+    fun mayPrefillFor(service: String, state: ReplicaState): Boolean =
+        !isPrefillOverloaded(prefillCost(service, state))
+
     private fun costFrom(service: String, state: ReplicaState): Double =
         load(service, state) + distanceCost(state, near = null) + random.nextDouble() * JITTER
 
@@ -104,6 +108,8 @@
          */
         const val PREFILL_COST_LIMIT = 1.33
 
+        fun isPrefillOverloaded(cost: Double) = cost >= PREFILL_COST_LIMIT && cost < DECODE_PREFILL_COST
+
         /** A prefill wait of half the objective costs as much as a full decode replica. */
         const val PREFILL_WEIGHT = 2.0
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -22,8 +22,12 @@
 import fireflyhinge.gateway.fleet.FleetUpdates
 import fireflyhinge.gateway.fleet.Gossip
 import fireflyhinge.gateway.fleet.LoadBroadcaster
+import fireflyhinge.gateway.fleet.OwnedQueues
 import fireflyhinge.gateway.fleet.PeerClient
 import fireflyhinge.gateway.fleet.PeerQuotaBorrower
+import fireflyhinge.gateway.fleet.QueueCapacity
+import fireflyhinge.gateway.fleet.QueueClient
+import fireflyhinge.gateway.fleet.QueueHandler
 import fireflyhinge.gateway.fleet.StoreMirror
 import fireflyhinge.gateway.forward.CrashDetector
 import fireflyhinge.gateway.forward.CrashGuard
@@ -31,12 +35,15 @@
 import fireflyhinge.gateway.forward.Forwarder
 import fireflyhinge.gateway.forward.PlainForwarder
 import fireflyhinge.gateway.forward.PlannedStop
+import fireflyhinge.gateway.forward.QueueMetrics
+import fireflyhinge.gateway.forward.QueueWaiter
 import fireflyhinge.gateway.forward.QuotaCharger
 import fireflyhinge.gateway.forward.ReplicaNotices
 import fireflyhinge.gateway.forward.ReplicaRouting
 import fireflyhinge.gateway.forward.ReplicaSender
 import fireflyhinge.gateway.forward.RequestLog
 import fireflyhinge.gateway.forward.ReservationClient
+import fireflyhinge.gateway.forward.SlotReserver
 import fireflyhinge.gateway.forward.StreamForwarder
 import fireflyhinge.gateway.http.ConnectionPool
 import fireflyhinge.gateway.http.HttpClient
@@ -85,6 +92,14 @@
     private val crashes = CrashDetector(replicaPool, io.scope, evidence, registry)
     private val sender = ReplicaSender(replicaPool, protocols.replicas, notices)
     private val replicaCalls = ReservationClient(io, replicaPool, protocols.reservations, protocols.replicas, notices)
+    private val queueCapacity = QueueCapacity(table, routing.selector, domains, ::memoryOf)
+    private val queues = OwnedQueues(io.scope, queueCapacity, registry)
+    private val queueClient = QueueClient(fleet, domains, peers, queues, queueCapacity, io.scope)
+    private val slots =
+        SlotReserver(routing, replicaCalls) { reserve ->
+            val id = "${settings.vm}/${fleet.self.startedAt}"
+            QueueWaiter(id, routing, queueClient, QueueMetrics(registry), reserve)
+        }
     private val plannedStop = PlannedStop()
     private val startedAt = monotonicMillis()
 
@@ -107,7 +122,7 @@
                 guard = guard,
                 quota = QuotaCharger(shares, PeerQuotaBorrower(fleet, domains, peers), io.scope),
                 plain = PlainForwarder(routing, sender, crashes),
-                streams = StreamForwarder(routing, sender, replicaCalls, crashes),
+                streams = StreamForwarder(routing, sender, replicaCalls, crashes, slots),
             ),
             requestLog = RequestLog(registry),
             stop = plannedStop,
@@ -117,7 +132,7 @@
         HttpListener(
             io,
             settings.control,
-            handler = ControlHandler(gossip, mirrors, copies, shares, evidence) { config },
+            handler = QueueHandler(queues, ControlHandler(gossip, mirrors, copies, shares, evidence) { config }),
         )
     private val discovery =
         DiscoveryHandler(
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeAttempts.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeAttempts.kt
@@ -43,6 +43,12 @@
         return route.resumable && sends + running < route.maxAttempts
     }
 
+    /** Records that the queue refused the request, whose caller may return after [retryAfterMillis]. */
+    fun refusedByQueue(retryAfterMillis: Long) {
+        if (lastFailure.code != ResultCode.CAPACITY_EXHAUSTED) return
+        lastFailure = Outcome.Failure(ResultCode.CAPACITY_EXHAUSTED, retryAfterMillis = retryAfterMillis)
+    }
+
     companion object {
         /** Undelivered attempts after which the request fails. */
         private const val MAX_UNDELIVERED = 3
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/RequestContext.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/RequestContext.kt
@@ -30,6 +30,9 @@
     /** Whether requests with the traits of this one crash replicas, so that it may be sent to no further one. */
     var barred = false
 
+    /** When the caller may return if the queue refused the request; null if it did not tell. */
+    var retryAfterMillis: Long? = null
+
     /** Tokens charged to the workspace. */
     var cost = 0.0
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -12,9 +12,9 @@
     private val sender: ReplicaSender,
     private val reservations: ReservationClient,
     private val crashes: CrashDetector,
+    private val slots: SlotReserver,
 ) {
     private val prefillDispatcher = PrefillDispatcher(routing, sender, crashes)
-    private val slots = SlotReserver(routing, reservations)
 
     /** Prefills, decodes, and forwards the events to [response]. A resumable stream that breaks continues elsewhere. */
     suspend fun run(context: RequestContext, response: ResponseWriter): ForwardResult {
@@ -54,6 +54,7 @@
         val until = if (response.started) monotonicMillis() + RESUME_SLOT_WAIT_MILLIS else slotDeadlineMillis
         val target = slots.reserve(context, attempts.excluded, until, resumed = response.started)
         if (target == null) context.attemptLog += "no decode slot found"
+        context.retryAfterMillis?.let { attempts.refusedByQueue(it) }
         return target
     }
 
@@ -216,7 +217,12 @@
         if (begun == null) context.recordSend()
         val mayRetry = attempts.mayResume(context, running = 1)
         val session = begun ?: session(context, attempts, response, running = 1)
-        val outcome = session.run(state, options(context, attempts, target, prepared.cache))
+        val outcome =
+            try {
+                session.run(state, options(context, attempts, target, prepared.cache))
+            } finally {
+                slots.released(state)
+            }
         return accounting.settle(state, outcome, withCache = prepared.cache != null, mayRetry = mayRetry)
     }
 
