--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaSelector.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaSelector.kt
@@ -81,13 +81,17 @@
                     val cost = { prefillCost(service, it, policy, filter) }
                     it to if (policy.sharesPrefillCosts) shared.getOrPut(it.replica.failureDomain, cost) else cost()
                 }
-                .filterNot { (_, prefill) -> prefill >= PREFILL_COST_LIMIT && prefill < DECODE_PREFILL_COST }
+                .filterNot { (_, prefill) -> isPrefillOverloaded(prefill) }
                 .map { (state, prefill) ->
-                    SelectionPolicy.Candidate(state, prefill + distanceCost(state, near = null) + coldCost(state))
+                    SelectionPolicy.Candidate(state, prefill + penalty(state, near = null))
                 }
         return policy.select(candidates, capacity(service))
     }
 
+    /** Whether a prompt for the decode replica of [state] would be prefilled within its objective. */
+    fun mayPrefillFor(service: String, state: ReplicaState, filter: ReplicaFilter = ReplicaFilter.ANY): Boolean =
+        !isPrefillOverloaded(prefillCost(service, state, policy(), filter))
+
     /** Cost of a prefill for [decode], whose KV cache must come from its own region. */
     private fun prefillCost(
         service: String,
@@ -111,19 +115,17 @@
 
     private fun best(service: String, states: List<ReplicaState>, near: String?): ReplicaState? =
         policy().select(
-            states.map { SelectionPolicy.Candidate(it, distanceCost(it, near) + coldCost(it)) },
+            states.map { SelectionPolicy.Candidate(it, penalty(it, near)) },
             capacity(service),
         )
 
-    private fun coldCost(state: ReplicaState): Double = cold?.cost(state) ?: 0.0
-
-    private fun distanceCost(state: ReplicaState, near: String?): Double {
+    /** Cost of the distance to [state]'s replica, from [near] or from this VM, and of the replica's being cold. */
+    private fun penalty(state: ReplicaState, near: String?): Double {
         val domain = state.replica.failureDomain
-        if (near == null) return DISTANCE_COST[domains.distance(domain)]
-        val distance = domains.distance(domain, near)
+        val distance = if (near == null) domains.distance(domain) else domains.distance(domain, near)
         // The KV cache moves between failure domains of a region within milliseconds; a queue takes far longer.
-        if (policy().sharesPrefillCosts && distance == 1) return NEAR_PREFILL_COST
-        return DISTANCE_COST[distance]
+        val close = near != null && distance == 1 && policy().sharesPrefillCosts
+        return (if (close) NEAR_PREFILL_COST else DISTANCE_COST[distance]) + (cold?.cost(state) ?: 0.0)
     }
 
     private companion object {
@@ -154,6 +156,8 @@
          */
         const val PREFILL_COST_LIMIT = 1.33
 
+        fun isPrefillOverloaded(cost: Double) = cost >= PREFILL_COST_LIMIT && cost < DECODE_PREFILL_COST
+
         /** A prefill wait of half the objective costs as much as a full decode replica. */
         const val PREFILL_WEIGHT = 2.0
     }
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
@@ -5,8 +5,8 @@
 /** State of all replicas that the platform lists. Thread-safe. */
 class ReplicaTable(
     private val clock: MonotonicClock = MonotonicClock.SYSTEM,
-    private val wallMillis: () -> Long = System::currentTimeMillis,
     private val prefillRates: PrefillRates = PrefillRates(clock),
+    private val wallMillis: () -> Long = System::currentTimeMillis,
 ) {
     private var states = emptyMap<String, ReplicaState>()
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -34,8 +34,12 @@
 import fireflyhinge.gateway.fleet.KnownEra
 import fireflyhinge.gateway.fleet.LoadBroadcaster
 import fireflyhinge.gateway.fleet.OwnEntry
+import fireflyhinge.gateway.fleet.OwnedQueues
 import fireflyhinge.gateway.fleet.PeerClient
 import fireflyhinge.gateway.fleet.PeerQuotaBorrower
+import fireflyhinge.gateway.fleet.QueueCapacity
+import fireflyhinge.gateway.fleet.QueueClient
+import fireflyhinge.gateway.fleet.QueueHandler
 import fireflyhinge.gateway.fleet.QuotaMetrics
 import fireflyhinge.gateway.fleet.QuotaProber
 import fireflyhinge.gateway.fleet.StoreMetrics
@@ -48,6 +52,8 @@
 import fireflyhinge.gateway.forward.Forwarder
 import fireflyhinge.gateway.forward.PlainForwarder
 import fireflyhinge.gateway.forward.PlannedStop
+import fireflyhinge.gateway.forward.QueueMetrics
+import fireflyhinge.gateway.forward.QueueWaiter
 import fireflyhinge.gateway.forward.QuotaCharger
 import fireflyhinge.gateway.forward.ReplicaLoadMetrics
 import fireflyhinge.gateway.forward.ReplicaNotices
@@ -55,6 +61,7 @@
 import fireflyhinge.gateway.forward.ReplicaSender
 import fireflyhinge.gateway.forward.RequestLog
 import fireflyhinge.gateway.forward.ReservationClient
+import fireflyhinge.gateway.forward.SlotReserver
 import fireflyhinge.gateway.forward.StreamForwarder
 import fireflyhinge.gateway.http.ConnectionPool
 import fireflyhinge.gateway.http.HeldMemory
@@ -164,6 +171,14 @@
         ColdReplicaMonitor(coldBudget, cold, fleet, table, registry) {
             (fleetListed || gossip.answered > 0) && config?.services?.values?.any { it.coldPerSecond > 0 } == true
         }
+    private val queueCapacity = QueueCapacity(table, routing.selector, domains, ::memoryOf)
+    private val queues = OwnedQueues(io.scope, queueCapacity, registry)
+    private val queueClient = QueueClient(fleet, domains, peers, queues, queueCapacity, io.scope)
+    private val slots =
+        SlotReserver(routing, replicaCalls) { reserve ->
+            val id = "${settings.vm}/${fleet.self.startedAt}"
+            QueueWaiter(id, routing, queueClient, QueueMetrics(registry), reserve)
+        }
     private val plannedStop = PlannedStop()
     private val startedAt = monotonicMillis()
 
@@ -186,7 +201,7 @@
                 guard = guard,
                 quota = quotaCharger,
                 plain = PlainForwarder(routing, sender, crashes),
-                streams = StreamForwarder(routing, sender, replicaCalls, crashes),
+                streams = StreamForwarder(routing, sender, replicaCalls, crashes, slots),
             ),
             requestLog = RequestLog(registry),
             stop = plannedStop,
@@ -197,7 +212,7 @@
         HttpListener(
             io,
             settings.control,
-            handler = ControlHandler(gossip, mirrors, copies, shares, evidence) { config },
+            handler = QueueHandler(queues, ControlHandler(gossip, mirrors, copies, shares, evidence) { config }),
             memory = held,
         )
     private val discovery =
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -12,9 +12,9 @@
     private val sender: ReplicaSender,
     private val reservations: ReservationClient,
     private val crashes: CrashDetector,
+    private val slots: SlotReserver,
 ) {
     private val prefillDispatcher = PrefillDispatcher(routing, sender, crashes)
-    private val slots = SlotReserver(routing, reservations)
 
     /** Prefills, decodes, and forwards the events to [response]. A resumable stream that breaks continues elsewhere. */
     suspend fun run(context: RequestContext, response: ResponseWriter): ForwardResult {
@@ -60,9 +60,11 @@
             routing.cold.claimed(until, ::releaseReservation) {
                 slots.reserve(context, attempts.excluded, until, resumed = response.started)
             }
-        if (target == null && !routing.cold.blocks(context, ReplicaStage.DECODE, attempts.excluded)) {
+        val reachable = routing.filter(context)::allows
+        if (target == null && !routing.cold.blocks(context, ReplicaStage.DECODE, attempts.excluded, reachable)) {
             context.attemptLog += "no decode slot found"
         }
+        context.retryAfterMillis?.let { attempts.refusedByQueue(it) }
         return target
     }
 
@@ -229,7 +231,12 @@
         if (begun == null) context.recordSend()
         val mayRetry = attempts.mayResume(context, running = 1)
         val session = begun ?: session(context, attempts, response, running = 1)
-        val outcome = session.run(state, options(context, attempts, target, prepared.cache))
+        val outcome =
+            try {
+                session.run(state, options(context, attempts, target, prepared.cache))
+            } finally {
+                slots.released(state)
+            }
         return accounting.settle(state, outcome, withCache = prepared.cache != null, mayRetry = mayRetry)
     }
 
