Don't take a cold replica for unresponsive that got no request

A hedge whose budget was gone when it was to be written left its replica as the newest one of the request, so that the replica counted as unresponsive when the other sends took long. It is now forgotten. Found by reading; no test shows it.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PlainForwarder.kt
@@ -133,6 +133,8 @@
                 attempts.undelivered++
                 if (result.noBudget) {
                     attempts.excluded -= id
+                    // Nothing was sent that could be late.
+                    if (attempts.newest === state) attempts.newest = null
                     attempts.lastFailure = ColdSends.refusal()
                 } else {
                     state.recordNoResponse()
