--- a/core/src/test/kotlin/fireflyhinge/forward/EvenLoadPolicyTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/EvenLoadPolicyTest.kt
@@ -56,12 +56,13 @@
     fun noAlternativeIsBetterThroughout() {
         val alternatives =
             mapOf<String, (Random) -> SelectionPolicy>(
+                "least known load" to { LeastLoadPolicy(it) },
                 "least known load and own requests" to SelectionAlternatives::leastWithOwn,
                 "two choices" to SelectionAlternatives::twoChoices,
                 "free capacity" to SelectionAlternatives::freeCapacity,
                 "subsets" to SelectionAlternatives::subsets,
             )
-        val scenarios = listOf(PLAIN, BUSY, THIRTY_OWN, PREFILL, DECODE)
+        val scenarios = listOf(PLAIN, BUSY, THIRTY, THIRTY_OWN, PREFILL, DECODE)
         val even = scenarios.map { run(it, ::EvenLoadPolicy) }
         for ((name, alternative) in alternatives) {
             val others = scenarios.map { run(it, alternative) }
@@ -241,7 +242,7 @@
         fun plain(name: String, ratePerSecond: Double) =
             Scenario(name, ReplicaStage.PLAIN, place(1, 1, 1, 1, 1, 1), 6, Demand(43.0, ratePerSecond, 350))
 
-        /** Thirty replicas at three quarters of their capacity. */
+        /** Thirty replicas at two thirds of their capacity. */
         fun thirty(name: String, ownReports: Boolean): Scenario {
             val demand = Demand(400.0, 190.0, 1_000, spread = true)
             return Scenario(name, ReplicaStage.PLAIN, place(8, 3, 6, 2, 7, 4), 4, demand, ownReports)
