--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerMessages.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerMessages.kt
@@ -5,7 +5,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode
 import fireflyhinge.doubleIn
 import fireflyhinge.forward.HostPort
-import fireflyhinge.forward.PrefillRate
 import fireflyhinge.forward.StoreItem
 import fireflyhinge.forward.StoreReadResult
 import fireflyhinge.forward.VmRecord
@@ -29,23 +28,15 @@
         exchange.vms.forEach { list.add(encode(it)) }
         CopyVersionCodec.encode(exchange.copies, root)
         if (!exchange.evidence.empty) root.set<ObjectNode>("evidence", EvidenceCodec.encode(exchange.evidence))
-        exchange.prefillRates.forEach { (id, rate) ->
-            root.withObject("/prefill_rates").putObject(id).put("rate", rate.tokensPerMilli).put("age", rate.ageMillis)
-        }
+        PrefillRateCodec.encode(exchange.prefillRates, root)
         return mapper.writeValueAsBytes(root)
     }
 
     fun exchange(bytes: ByteArray): PeerStateMessage {
         val root = mapper.readTree(bytes)
         val vms = root.path("vms").mapNotNull(::vm)
-        val rates = root.path("prefill_rates").properties().mapNotNull { (id, node) -> prefillRate(node)?.let { id to it } }
         val evidence = EvidenceCodec.decode(root.path("evidence"))
-        return PeerStateMessage(vms, CopyVersionCodec.decode(root), evidence, rates.toMap())
-    }
-
-    private fun prefillRate(node: JsonNode): PrefillRate? {
-        val rate = node.path("rate").doubleIn(0.0..MAX_TOKENS.toDouble()) ?: return null
-        return node.path("age").longIn(NON_NEGATIVE)?.let { PrefillRate(rate, it) }
+        return PeerStateMessage(vms, CopyVersionCodec.decode(root), evidence, PrefillRateCodec.decode(root))
     }
 
     fun encode(listing: StoreReadResult.Listing): ByteArray {
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
@@ -4,6 +4,7 @@
 import fireflyhinge.forward.CrashEvidence
 import fireflyhinge.forward.CrashSighting
 import fireflyhinge.forward.EvidenceReport
+import fireflyhinge.forward.PrefillRate
 import fireflyhinge.forward.StoreItem
 import fireflyhinge.forward.StoreObjectKind
 import fireflyhinge.forward.StoreReadResult
@@ -44,6 +45,20 @@
         assertEquals(listOf(vm), PeerMessages.exchange(good.toByteArray()).vms)
     }
 
+    /** Guards against a message that is dropped, or a rate that is used, because one of its rates is odd. */
+    @Test
+    fun oddPrefillRatesAreLeftOut() {
+        val rates = mapOf("r1" to PrefillRate(33.5, 9), "r2" to PrefillRate(80.0, 0))
+        val message = PeerStateMessage(listOf(vm), emptyMap(), prefillRates = rates)
+        val text = PeerMessages.encode(message).decodeToString()
+        assertEquals(rates, PeerMessages.exchange(text.toByteArray()).prefillRates)
+        listOf("\"rate\":-1", "\"rate\":\"33\"", "\"rate\":1e400", "\"rate\":null", "\"other\":1").forEach { odd ->
+            val decoded = PeerMessages.exchange(text.replace("\"rate\":33.5", odd).toByteArray())
+            assertEquals(rates - "r1", decoded.prefillRates, odd)
+            assertEquals(listOf(vm), decoded.vms, odd)
+        }
+    }
+
     /** Guards against a copy that cannot be passed on because of one text in it. */
     @Test
     fun aCopyWithHalfASurrogatePairIsPassedOn() {
