Expect the kind of evacuations in messages between VMs

PeerMessagesTest#theNamesInMessagesStay lists the revisions of all kinds of objects; it failed since the kind was added.

--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
@@ -151,6 +151,7 @@
         val vms =
             """{"name":"vm-1","front":"10.1.0.3:80","control":"10.1.0.3:81","failure_domain":"north",""" +
                 """"started_at":5,"beat":7,"ready":true,"tokens":{"r1":9}}"""
+        val revisions = """{"CONFIGURATION":0,"REPLICAS":1,"VMS":2,"CRASHES":3,"EVACUATIONS":4}"""
         val copies = StoreObjectKind.entries.associateWith { CopyVersion(it.ordinal.toLong()) }
         val exchange = PeerStateMessage(listOf(vm), copies)
         val confirming =
@@ -162,12 +163,12 @@
         val cases =
             mapOf(
                 PeerMessages.encode(exchange) to
-                    """{"vms":[$vms],"revisions":{"CONFIGURATION":0,"REPLICAS":1,"VMS":2,"CRASHES":3}}""",
+                    """{"vms":[$vms],"revisions":$revisions}""",
                 PeerMessages.encode(exchange.copy(evidence = evidence)) to
-                    """{"vms":[$vms],"revisions":{"CONFIGURATION":0,"REPLICAS":1,"VMS":2,"CRASHES":3},""" +
+                    """{"vms":[$vms],"revisions":$revisions,""" +
                     """"evidence":$told}""",
                 PeerMessages.encode(confirming) to
-                    """{"vms":[$vms],"revisions":{"CONFIGURATION":0,"REPLICAS":1,"VMS":2,"CRASHES":3},""" +
+                    """{"vms":[$vms],"revisions":$revisions,""" +
                     """"confirmed":{"VMS":{"digest":"a1","age_ms":9}}}""",
                 EvidenceCodec.encode(evidence).toString().toByteArray() to told,
                 PeerMessages.encode(listing) to
