--- a/core/src/main/kotlin/fireflyhinge/forward/StoreObjectKind.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/StoreObjectKind.kt
@@ -19,5 +19,5 @@
     CRASHES,
 
     /** Evacuated failure domains. */
-    EVACUATIONS,
+    EVACUATIONS(writtenByOperator = true),
 }
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/forward/QueueFixture.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/forward/QueueFixture.kt
@@ -2,6 +2,9 @@
 
 import fireflyhinge.forward.Admission
 import fireflyhinge.forward.CallKind
+import fireflyhinge.forward.ColdBounds
+import fireflyhinge.forward.ColdBudget
+import fireflyhinge.forward.ColdReplicas
 import fireflyhinge.forward.FailureDomains
 import fireflyhinge.forward.FleetView
 import fireflyhinge.forward.ForwardRoute
@@ -58,7 +61,9 @@
         val queues = OwnedQueues(io.scope, capacity, registry)
         val client =
             QueueClient(fleet, domains, PeerClient(HttpClient(ConnectionPool(io))), queues, capacity, io.scope)
-        private val routing = ReplicaRouting(table, selector, RetryBudgetShares(RetryBounds()) { 1 })
+        private val cold = ColdReplicas(table, ColdBudget(name, ColdBounds())) { null }
+        private val routing =
+            ReplicaRouting(table, selector, RetryBudgetShares(RetryBounds()) { 1 }, ColdSends(cold, registry))
         private val waiter = QueueWaiter(name, routing, client, QueueMetrics(registry)) { _, _ -> reserve() }
 
         /** Serves the control interface with [handler]. */
