--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaState.kt
@@ -14,7 +14,7 @@
     replica: Replica,
     private val clock: MonotonicClock,
     startAgeMillis: Long? = null,
-    private val prefillRates: PrefillRates = PrefillRates(clock),
+    private val prefillRates: PrefillRates = PrefillRates(clock, enabled = { false }),
     private val isEvacuated: (String) -> Boolean = { false },
 ) {
     /** For how long the replica is cold. */
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
@@ -5,7 +5,7 @@
 /** State of all replicas that the platform lists. Thread-safe. */
 class ReplicaTable(
     private val clock: MonotonicClock = MonotonicClock.SYSTEM,
-    private val prefillRates: PrefillRates = PrefillRates(clock),
+    private val prefillRates: PrefillRates = PrefillRates(clock, enabled = { false }),
     private val wallMillis: () -> Long = System::currentTimeMillis,
 ) {
     private var states = emptyMap<String, ReplicaState>()
--- a/core/src/test/kotlin/fireflyhinge/forward/EvenLoadPolicyTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/EvenLoadPolicyTest.kt
@@ -51,6 +51,16 @@
         }
     }
 
+    /** Guards against prompts that go to slow prefill replicas as often as to fast ones. */
+    @Test
+    fun sharedPrefillRatesServeMoreInTime() {
+        val alone = run(PREFILL, ::EvenLoadPolicy)
+        val shared = run(PREFILL, ::EvenLoadPolicy, sharesPrefillRates = true)
+        val what = "alone $alone, shared $shared"
+        println(what)
+        assertTrue(shared.late < alone.late && shared.p99 < alone.p99, what)
+    }
+
     /** Documents what docs/design/even-load.md compares; guards against a simpler policy that is better throughout. */
     @Test
     fun noAlternativeIsBetterThroughout() {
@@ -251,14 +261,14 @@
         fun place(vararg counts: Int) =
             counts.flatMapIndexed { index, count -> List(count) { ReplicaFleetSimulation.DOMAINS[index] } }
 
-        fun run(scenario: Scenario, policy: (Random) -> SelectionPolicy) =
-            Figures((1..SEEDS).map { ReplicaFleetSimulation(scenario, it, policy).run() })
+        fun run(scenario: Scenario, policy: (Random) -> SelectionPolicy, sharesPrefillRates: Boolean = false) =
+            Figures((1..SEEDS).map { ReplicaFleetSimulation(scenario, it, sharesPrefillRates, policy).run() })
 
         fun runOwner(scenario: Scenario) =
             Figures(
                 (1..SEEDS).map { seed ->
                     val owner = SelectionAlternatives.Owner()
-                    val simulation = ReplicaFleetSimulation(scenario, seed, owner::policy)
+                    val simulation = ReplicaFleetSimulation(scenario, seed, policy = owner::policy)
                     simulation.onCompleted = { owner.ended(it.replica.id) }
                     simulation.run()
                 },
--- a/core/src/test/kotlin/fireflyhinge/forward/ReplicaFleetSimulation.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/ReplicaFleetSimulation.kt
@@ -8,10 +8,12 @@
 /**
  * Simulates VMs that send requests to the replicas of one service in steps of 1 ms, without a network. Each VM has its
  * own [ReplicaTable] and [ReplicaSelector]; a VM gets a report of each replica every 0.9 s, which is then 0.1 s old.
+ * With `sharesPrefillRates` it also knows the rates that all VMs measured.
  */
 internal class ReplicaFleetSimulation(
     private val scenario: Scenario,
     seed: Long,
+    sharesPrefillRates: Boolean = false,
     private val policy: (Random) -> SelectionPolicy,
 ) {
     /**
@@ -95,7 +97,7 @@
 
     private inner class Vm(index: Int) {
         val domain = DOMAINS[index % DOMAINS.size]
-        val table = ReplicaTable(clock).also { it.replace(machines.map { machine -> machine.replica }) }
+        val table = ReplicaTable(clock, rates).also { it.replace(machines.map { machine -> machine.replica }) }
         private val own = policy(Random(random.nextLong()))
         private val selector = ReplicaSelector(table, FailureDomains(domain, REGIONS), { MEMORY }, policy = { own })
         val states = table.usable("s", scenario.stage).associateBy { it.replica.id }
@@ -130,6 +132,7 @@
     var onCompleted: (ReplicaState) -> Unit = {}
     private val random = Random(seed)
     private val clock = ManualClock()
+    private val rates = PrefillRates(clock, enabled = { sharesPrefillRates })
     private val events = PriorityQueue<Pair<Long, (Int) -> Unit>>(compareBy { it.first })
     private var sequence = 0L
     private val machines = List(scenario.domains.size) { Machine(it) }
