Order quota members once, and keep plain requests in their region

Each probe round, ten times a second, sorted all VMs for every workspace several times; the order is now kept until the members change. Plain requests were drawn to the other region too often: the path there and back takes longer than their work. They now leave their region only when it is overloaded, as with the other policy, which the test expects too. Prompts move between prefill replicas by the new rule in large fleets only.

--- a/core/src/main/kotlin/fireflyhinge/forward/EvenLoadPolicy.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/EvenLoadPolicy.kt
@@ -27,7 +27,8 @@
         var total = 0.0
         for (i in costs.indices) {
             val penalty = candidates[i].penalty
-            val cost = (costs[i] - penalty - least) / LOAD_SCALE + penalty / PENALTY_SCALE
+            val scale = if (isPlain(candidates[i])) PLAIN_PENALTY_SCALE else PENALTY_SCALE
+            val cost = (costs[i] - penalty - least) / LOAD_SCALE + penalty / scale
             total += capacityOf(candidates[i], estimates[i], service) * exp(-cost)
             cumulative[i] = total
         }
@@ -58,6 +59,8 @@
         }
     }
 
+    private fun isPlain(candidate: SelectionPolicy.Candidate) = candidate.state.replica.stage == ReplicaStage.PLAIN
+
     private fun isPrefill(candidate: SelectionPolicy.Candidate) =
         candidate.state.replica.stage == ReplicaStage.PREFILL
 
@@ -91,6 +94,9 @@
         /** The same for distance, which unlike load is known exactly. */
         const val PENALTY_SCALE = 0.1
 
+        /** A plain request takes less time than the path to another region and back. */
+        const val PLAIN_PENALTY_SCALE = 0.05
+
         /** The load of prefill replicas counts in latency objectives, of which a mean prompt takes about a tenth. */
         const val PREFILL_WEIGHT = 3.0
         const val PREFILL_INCREMENT = 0.33
--- a/core/src/main/kotlin/fireflyhinge/forward/FleetView.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/FleetView.kt
@@ -10,7 +10,13 @@
         var learnedAt = heardAt
     }
 
+    /** Order of the [members] for one quota. */
+    private class QuotaOrder(val members: List<String>, val names: List<String>)
+
     private val known = LinkedHashMap<String, Known>()
+
+    /** Orders are asked for many times a second and change only with the members. */
+    private val quotaOrders = LruMap<String, QuotaOrder>(MAX_QUOTA_ORDERS)
     private var own = self
 
     /** The record of this VM. */
@@ -111,10 +117,20 @@
      * Names of the VMs that hold shares of the quota [name]: [count] of the [quotaMembers], the same on each VM with
      * the same view (rendezvous hashing). With more than [MAX_QUOTA_HOLDERS] a share would be smaller than one request.
      */
-    fun quotaHolders(name: String, count: Int = MAX_QUOTA_HOLDERS): List<String> =
-        quotaMembers().sortedBy { "$name/$it".hashCode() * HASH_MULTIPLIER }.take(count)
+    @Synchronized
+    fun quotaHolders(name: String, count: Int = MAX_QUOTA_HOLDERS): List<String> {
+        val members = quotaMembers()
+        val order =
+            quotaOrders[name]?.takeIf { it.members == members }
+                ?: QuotaOrder(members, members.sortedBy { "$name/$it".hashCode() * HASH_MULTIPLIER })
+                    .also { quotaOrders[name] = it }
+        return order.names.take(count)
+    }
 
     private companion object {
+        /** More than the workspaces of a VM at a time; an order of 1,500 names takes some kilobytes. */
+        const val MAX_QUOTA_ORDERS = 64
+
         /** A heartbeat spreads within about two exchanges of 500 ms each; the timeout is about twice that. */
         const val HEARTBEAT_TIMEOUT_MILLIS = 2_500L
 
--- a/core/src/main/kotlin/fireflyhinge/forward/PrefillTimeout.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/PrefillTimeout.kt
@@ -16,7 +16,7 @@
     const val LAST_MILLIS = 1_500L
 
     /** The longest prompt takes 0.2 s on an idle replica; the rest allows for a queue. */
-    private const val RETRY_MILLIS = 800L
+    const val RETRY_MILLIS = 800L
 
     /** Prefill and first token of a mean prompt at a replica with a short queue. */
     private const val PREFILL_MILLIS = 300L
--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaSelector.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaSelector.kt
@@ -123,9 +123,10 @@
     private fun penalty(state: ReplicaState, near: String?): Double {
         val domain = state.replica.failureDomain
         val distance = if (near == null) domains.distance(domain) else domains.distance(domain, near)
-        // The KV cache moves between failure domains of a region within milliseconds; a queue takes far longer.
-        val close = near != null && distance == 1 && policy().sharesPrefillCosts
-        return (if (close) NEAR_PREFILL_COST else DISTANCE_COST[distance]) + (cold?.cost(state) ?: 0.0)
+        // Failure domains of a region are milliseconds apart; a queue takes far longer.
+        val plain = state.replica.stage == ReplicaStage.PLAIN
+        val close = (near != null || plain) && distance == 1 && policy().sharesPrefillCosts
+        return (if (close) NEAR_DOMAIN_COST else DISTANCE_COST[distance]) + (cold?.cost(state) ?: 0.0)
     }
 
     private companion object {
@@ -138,8 +139,8 @@
          */
         val DISTANCE_COST = doubleArrayOf(0.0, 0.1, 0.3)
 
-        /** Prefers the failure domain of the decode replica among prefill replicas with the same load. */
-        const val NEAR_PREFILL_COST = 0.01
+        /** Prefers the same failure domain among plain and prefill replicas with the same load. */
+        const val NEAR_DOMAIN_COST = 0.01
 
         /**
          * Higher than any load: without a prefill replica the decode replica prefills the prompt itself, which delays
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -161,7 +161,8 @@
                 .log("selecting replicas by another policy, for the size of the fleet")
         }
     private val selector = ReplicaSelector(table, domains, ::memoryOf, cold = cold, policy = policies)
-    private val routing = ReplicaRouting(table, selector, retries, coldSends)
+    private val routing =
+        ReplicaRouting(table, selector, retries, coldSends, largeFleet = { fleet.exchangeIntervalFactor > 1 })
     private val replicaPool = ConnectionPool(io, held = held)
     private val notices = ReplicaNotices(registry)
     private val crashes = CrashDetector(replicaPool, io.scope, evidence, registry)
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/PrefillDispatcher.kt
@@ -39,7 +39,7 @@
             select(context, avoid, near) != null
         if (!another) return PrefillTimeout.LAST_MILLIS
         val elapsed = monotonicMillis() - context.request.arrivedMillis
-        return PrefillTimeout.retryableMillis(context.admission.route.objectiveMillis - elapsed)
+        return routing.prefillRetryMillis(context.admission.route.objectiveMillis - elapsed)
     }
 
     /** Selects a prefill replica near [near]; waits for the budget of cold ones if there are no others. */
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaRouting.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaRouting.kt
@@ -1,5 +1,6 @@
 package fireflyhinge.gateway.forward
 
+import fireflyhinge.forward.PrefillTimeout
 import fireflyhinge.forward.ReplicaFilter
 import fireflyhinge.forward.ReplicaSelector
 import fireflyhinge.forward.ReplicaStage
@@ -17,7 +18,12 @@
     val selector: ReplicaSelector,
     val retries: RetryBudgetShares,
     val cold: ColdSends,
+    private val largeFleet: () -> Boolean = { false },
 ) {
+    /** Milliseconds for a prefill that may be retried, if [objectiveMillis] are left of the request's objective. */
+    fun prefillRetryMillis(objectiveMillis: Long): Long =
+        if (largeFleet()) PrefillTimeout.retryableMillis(objectiveMillis) else PrefillTimeout.RETRY_MILLIS
+
     /** Restricts the replicas that may serve the request of [context]. */
     fun filter(context: RequestContext): ReplicaFilter = selector.within(context.admission.homeRegions)
 
