Register a VM before it lists the others

Two VMs that start at the same moment both listed the VMs before either had written its entry. Without seeds that answer they never learned of each other.

A VM now writes its entry first, so of two VMs the later one lists the other. A restarted VM makes one call more, which finds its entry unchanged.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -293,13 +293,11 @@
             found =
                 retryUntilSuccess(log, "finding the fleet") {
                     confirmedEra = era.value
+                    // Of two VMs that start at once, the one that writes its entry later lists the other.
+                    val registered = store.register(fleet.self)
                     val listing = store.list(StoreObjectKind.VMS) as? StoreReadResult.Listing
-                    val listed = listing?.let { protocols.storeObjects.vms(it.items) }
-                    listed?.let { fleet.merge(it) }
-                    val self = fleet.self
-                    val written = listed?.find { it.name == self.name }
-                    val current = written?.control == self.control && written.front == self.front
-                    listed != null && (current || store.register(self))
+                    listing?.let { fleet.merge(protocols.storeObjects.vms(it.items)) }
+                    registered && listing != null
                 }
             if (!found) delay(REGISTER_PAUSE_MILLIS)
         }
