Pause between loans only after one that did not suffice

In a large fleet the reserve of a VM without a share is smaller than one request of 200 tokens since the shares changed, so each needs a loan, and the next request within 80 ms of a loan was refused at once, though the loan had sufficed.

A workspace now pauses only after a loan that did not suffice, and a request waits for the loan of another one in steps of 20 ms.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/QuotaCharger.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/QuotaCharger.kt
@@ -51,15 +51,20 @@
     private suspend fun borrowed(workspace: ForwardWorkspace, tokens: Double, until: Long): QuotaRefusal? {
         while (true) {
             val now = monotonicMillis()
-            if (now >= (nextBorrowMillis[workspace.name] ?: 0)) {
+            val borrows = now >= (nextBorrowMillis[workspace.name] ?: 0)
+            if (borrows) {
                 nextBorrowMillis[workspace.name] = now + BORROW_INTERVAL_MILLIS
                 val loan = lender.borrow(workspace.name, shares.borrowAmount(workspace, tokens))
                 shares.add(workspace, loan.tokens)
                 complete[workspace.name] = loan.complete && !shares.young
             }
-            if (shares.take(workspace, tokens)) return null
-            if (monotonicMillis() + BORROW_INTERVAL_MILLIS > until) return refusal(workspace, tokens)
-            delay(BORROW_INTERVAL_MILLIS)
+            if (shares.take(workspace, tokens)) {
+                // Only a workspace whose loans do not suffice has to pause.
+                if (borrows) nextBorrowMillis.remove(workspace.name)
+                return null
+            }
+            if (monotonicMillis() + POLL_MILLIS > until) return refusal(workspace, tokens)
+            delay(POLL_MILLIS)
         }
     }
 
@@ -90,6 +95,9 @@
         /** Interval between borrow calls of a workspace, so that not each request over the limit makes one. */
         const val BORROW_INTERVAL_MILLIS = 80L
 
+        /** A loan for another request arrives within milliseconds from the own region. */
+        const val POLL_MILLIS = 20L
+
         /** Concurrently waiting requests per workspace; more could not be served within the latency objective. */
         const val MAX_WAITING = 3
     }
