--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/CopyExchangeTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/CopyExchangeTest.kt
@@ -9,8 +9,10 @@
 import fireflyhinge.gateway.http.HttpClient
 import fireflyhinge.gateway.http.HttpListener
 import fireflyhinge.gateway.http.IoLoop
+import fireflyhinge.gateway.http.ResponseWriter
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -45,11 +47,23 @@
 
     /** Guards against copies that spread too slowly from the only VM that the store serves. */
     @Test
-    fun aNewerCopyIsFetchedFromAVmThatOffersIt() {
-        val listener =
-            HttpListener(io, address, handler = { _, response ->
-                response.respond(200, DefaultHttpHeaders(), PeerMessages.encode(listing))
-            }).start()
+    fun aNewerCopyIsFetchedFromAVmThatOffersIt() =
+        assertFetched { response -> response.respond(200, DefaultHttpHeaders(), PeerMessages.encode(listing)) }
+
+    /** Guards against a copy that no VM can fetch because its transfer takes longer than a call may take. */
+    @Test
+    fun aLargeCopyIsFetchedOverASlowLink() =
+        assertFetched { response ->
+            response.start(200, DefaultHttpHeaders())
+            PeerMessages.encode(listing).forEach { byte ->
+                delay(TRANSFER_MILLIS / PeerMessages.encode(listing).size)
+                response.write(byteArrayOf(byte))
+            }
+            response.finish()
+        }
+
+    private fun assertFetched(respond: suspend (ResponseWriter) -> Unit) {
+        val listener = HttpListener(io, address, handler = { _, response -> respond(response) }).start()
         val mirror = StoreMirror(StoreObjectKind.REPLICAS, RefusingStore(), io.scope) { copies.add(it.items().keys) }
         io.scope.launch { mirror.run() }
         val exchange = CopyExchange(listOf(mirror), PeerClient(HttpClient(ConnectionPool(io))), io.scope) { null }
@@ -58,4 +72,9 @@
         assertEquals(setOf("a"), copies.poll(5, TimeUnit.SECONDS))
         listener.stopAccepting()
     }
+
+    private companion object {
+        /** Time for 300 kB, which VMs of one region fetch at once, over a link between regions. */
+        const val TRANSFER_MILLIS = 1_800L
+    }
 }
