Limit transfers by their progress, not by their length

Cause: a call had one time limit for the wait and the transfer, and a call that is repeated transfers everything again. A configuration with 1,400 routes has some 300 kB; thirty VMs that share a link of 42 Mbit/s need 1.8 s for it, more than the 1 s of a check or of a watch after an outage, and more than the 600 ms of a copy from another VM. A check that gave up also ended the watch beside it, whose response was arriving, and counted as an outage. From then on each transfer was given up and begun again, and kept the link busy.

Change: the limit of store reads and of copies from VMs holds until the response begins; its body may then pause for 1 s and take 10 s. While a response to the watch arrives, the store is not checked beside it and no copy is fetched.

Stand-ins of the store in three tests take the new parameter of a watch; no check was changed.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CheckedWatch.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CheckedWatch.kt
@@ -4,6 +4,7 @@
 import fireflyhinge.forward.StoreObjectKind
 import fireflyhinge.forward.StoreReadResult
 import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.selects.select
@@ -20,28 +21,41 @@
     private val freshness: CopyFreshness,
     private val checksFirst: () -> Boolean,
 ) {
+    /** Whether a response to the watch is arriving. */
+    @Volatile
+    var receiving = false
+        private set
+
     /**
      * Waits for changes after [revision] of [era]. Returns the first response with a change or the first failure, of
-     * the watch or of a check, or the response without a change that ends the watch. Returns null if a higher era
+     * the watch or of a check, or the response without a change that ends the watch. Once a response to the watch
+     * arrives, it is awaited, since the response to a check would have the same content. Returns null if a higher era
      * becomes known or [interruption] returns.
      */
     suspend fun await(revision: Long, era: Long, interruption: suspend () -> Unit): StoreReadResult? =
         coroutineScope {
             val reads =
                 listOf(
-                    async { store.watch(kind, revision, WATCH_MILLIS) },
+                    async { store.watch(kind, revision, WATCH_MILLIS) { receiving = true } },
                     async { check(revision, era) },
                     async { store.era.awaitAbove(era).let { null } },
                     async { interruption().let { null } },
                 )
-            select { reads.forEach { read -> read.onAwait { it } } }.also { reads.forEach { it.cancel() } }
+            try {
+                select { reads.forEach { read -> read.onAwait { it } } }
+            } finally {
+                reads.forEach { it.cancel() }
+                receiving = false
+            }
         }
 
     /** Asks the store for changes whenever neither it nor another VM has confirmed the copy for a while. */
     private suspend fun check(revision: Long, era: Long): StoreReadResult {
         while (true) {
             awaitDue()
+            if (receiving) awaitCancellation()
             val answer = store.watch(kind, revision, CHECK_MILLIS)
+            if (receiving && answer is StoreReadResult.Unavailable) awaitCancellation()
             if (answer !is StoreReadResult.Changes || !answer.isEmpty() || answer.era != era) return answer
             freshness.confirm()
         }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerClient.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PeerClient.kt
@@ -1,5 +1,7 @@
 package fireflyhinge.gateway.fleet
 
+import fireflyhinge.gateway.http.BodyTransfer
+import fireflyhinge.gateway.http.BufferedResponse
 import fireflyhinge.gateway.http.HttpClient
 import java.io.IOException
 
@@ -7,13 +9,13 @@
 internal class PeerClient(private val calls: HttpClient) {
     /** Posts [body] to [path] at [address]. Throws [IOException] if no successful response comes in time. */
     suspend fun post(address: String, path: String, body: ByteArray, millis: Long = CALL_MILLIS): ByteArray =
-        call(address, "POST", path, body, millis)
+        body(calls.call(address, "POST", path, body, timeoutMillis = millis), path, address)
 
-    /** Reads [path] at [address]. */
-    suspend fun get(address: String, path: String): ByteArray = call(address, "GET", path, ByteArray(0), CALL_MILLIS)
+    /** Reads [path], which may be large, at [address]. */
+    suspend fun get(address: String, path: String): ByteArray =
+        body(calls.call(address, "GET", path, timeoutMillis = CALL_MILLIS, transfer = BodyTransfer()), path, address)
 
-    private suspend fun call(address: String, method: String, path: String, body: ByteArray, millis: Long): ByteArray {
-        val reply = calls.call(address, method, path, body, timeoutMillis = millis)
+    private fun body(reply: BufferedResponse, path: String, address: String): ByteArray {
         if (reply.status != OK) throw IOException("$path on $address returned status ${reply.status}")
         return reply.body
     }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PlatformStore.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PlatformStore.kt
@@ -12,8 +12,13 @@
     /** All objects of [kind]. */
     suspend fun list(kind: StoreObjectKind): StoreReadResult
 
-    /** Waits up to [waitMillis] for changes of [kind] after [revision]. */
-    suspend fun watch(kind: StoreObjectKind, revision: Long, waitMillis: Long): StoreReadResult
+    /** Waits up to [waitMillis] for changes of [kind] after [revision]. Calls [onBegin] when the response begins. */
+    suspend fun watch(
+        kind: StoreObjectKind,
+        revision: Long,
+        waitMillis: Long,
+        onBegin: () -> Unit = {},
+    ): StoreReadResult
 
     /** Writes object [name] of [kind], which belongs to this system. Returns whether the store confirmed the write. */
     suspend fun put(kind: StoreObjectKind, name: String, body: String): Boolean
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
@@ -157,7 +157,7 @@
         store.era.observe(theirs.era, "another VM")
         val action = comparison.compare(version, theirs, callMillis, cutOff = outage.failures > 0)
         if (action == CopyAction.LIST) conflicts.trySend(Unit)
-        return action == CopyAction.FETCH
+        return action == CopyAction.FETCH && !watch.receiving
     }
 
     /** Replaces this copy by the [listing] of [vm] if that is newer, or confirmed later if both have one version. */
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpClient.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/HttpClient.kt
@@ -16,7 +16,8 @@
 ) {
     /**
      * Calls [address] and reads the complete response. Throws [IOException] if it does not arrive within
-     * [timeoutMillis]. A connection on which a call failed is not reused.
+     * [timeoutMillis], or, with a [transfer], if it does not begin within that time or its body stops arriving. A
+     * connection on which a call failed is not reused.
      *
      * @param issuedId extracts an id that a server issues only once. A response with an id that was already seen on the
      * connection is a second response to an earlier call; the call then throws [DuplicateResponseException]. [issuedId]
@@ -29,20 +30,25 @@
         body: ByteArray = ByteArray(0),
         headers: HttpHeaders = DefaultHttpHeaders(),
         timeoutMillis: Long,
+        transfer: BodyTransfer? = null,
         issuedId: (BufferedResponse) -> String? = { null },
     ): BufferedResponse {
         var connection: OutboundConnection? = null
         var complete = false
         try {
-            val response =
+            val (opened, head, buffered) =
                 withTimeoutOrNull(timeoutMillis) {
                     val opened = pool.acquire(address).also { connection = it }
                     headers.set(HttpHeaderNames.HOST, address)
                     opened.send(OutboundRequests.of(method, path, headers, body), matcher = matcher)
-                    read(opened).also { response -> checkNotDuplicate(opened, issuedId(response)) }
-                }
-            complete = response != null
-            return response ?: throw IOException("$address did not respond within $timeoutMillis ms")
+                    val head = opened.readHead()
+                    Triple(opened, head, if (transfer == null) opened.readBody() else null)
+                } ?: throw IOException("$address did not respond within $timeoutMillis ms")
+            transfer?.begin()
+            val response = BufferedResponse(head.status().code(), head.headers(), buffered ?: opened.readBody(transfer))
+            checkNotDuplicate(opened, issuedId(response))
+            complete = true
+            return response
         } finally {
             connection?.let { if (complete) pool.release(it) else it.close() }
         }
@@ -53,9 +59,4 @@
             throw DuplicateResponseException("${connection.address} issued id $id a second time")
         }
     }
-
-    private suspend fun read(connection: OutboundConnection): BufferedResponse {
-        val head = connection.readHead()
-        return BufferedResponse(head.status().code(), head.headers(), connection.readBody())
-    }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/OutboundConnection.kt
@@ -106,14 +106,18 @@
             is Part.Head -> throw IOException("an answer began inside another one")
         }
 
-    /** Reads the whole response body. Throws [IOException] if it is truncated or too large to buffer. */
-    suspend fun readBody(): ByteArray {
+    /**
+     * Reads the whole response body, within the limits of [transfer] if there are any. Throws [IOException] if it is
+     * truncated or too large to buffer.
+     */
+    suspend fun readBody(transfer: BodyTransfer? = null): ByteArray {
         val body = BodyBuffer()
         val unreserved = HeldShare(memory.held)
         var reserved = 0
         try {
             while (true) {
-                val bytes = readChunk() ?: return body.toByteArray()
+                val chunk = if (transfer == null) readChunk() else transfer.next(::readChunk)
+                val bytes = chunk ?: return body.toByteArray()
                 if (body.size + bytes.size > MAX_BODY_BYTES) {
                     throw IOException("the answer has over $MAX_BODY_BYTES bytes")
                 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/StoreHttpClient.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/StoreHttpClient.kt
@@ -11,10 +11,19 @@
     private val address: String,
     val era: KnownEra = KnownEra(),
 ) {
-    /** Makes a call; throws [IOException] if no complete response arrives within [timeoutMillis]. */
-    suspend fun call(method: String, path: String, body: ByteArray?, timeoutMillis: Long): BufferedResponse {
+    /**
+     * Makes a call; throws [IOException] if no response begins within [timeoutMillis], or if its body exceeds the
+     * limits of [transfer].
+     */
+    suspend fun call(
+        method: String,
+        path: String,
+        body: ByteArray?,
+        timeoutMillis: Long,
+        transfer: BodyTransfer = BodyTransfer(),
+    ): BufferedResponse {
         val headers = DefaultHttpHeaders()
         if (body != null) headers.add(HttpHeaderNames.CONTENT_TYPE, "application/json")
-        return client.call(address, method, path, body ?: ByteArray(0), headers, timeoutMillis)
+        return client.call(address, method, path, body ?: ByteArray(0), headers, timeoutMillis, transfer)
     }
 }
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/CopyExchangeTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/CopyExchangeTest.kt
@@ -36,7 +36,12 @@
 
         override suspend fun list(kind: StoreObjectKind) = StoreReadResult.Unavailable("status 503")
 
-        override suspend fun watch(kind: StoreObjectKind, revision: Long, waitMillis: Long) = awaitCancellation()
+        override suspend fun watch(
+            kind: StoreObjectKind,
+            revision: Long,
+            waitMillis: Long,
+            onBegin: () -> Unit,
+        ) = awaitCancellation()
 
         override suspend fun register(record: VmRecord) = false
 
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/OwnEntryTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/OwnEntryTest.kt
@@ -37,7 +37,12 @@
 
         override suspend fun list(kind: StoreObjectKind): StoreReadResult = awaitCancellation()
 
-        override suspend fun watch(kind: StoreObjectKind, revision: Long, waitMillis: Long): StoreReadResult =
+        override suspend fun watch(
+            kind: StoreObjectKind,
+            revision: Long,
+            waitMillis: Long,
+            onBegin: () -> Unit,
+        ): StoreReadResult =
             awaitCancellation()
 
         override suspend fun put(kind: StoreObjectKind, name: String, body: String) = true
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/StoreMirrorTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/StoreMirrorTest.kt
@@ -40,7 +40,12 @@
 
         override suspend fun list(kind: StoreObjectKind): StoreReadResult = next()
 
-        override suspend fun watch(kind: StoreObjectKind, revision: Long, waitMillis: Long): StoreReadResult {
+        override suspend fun watch(
+            kind: StoreObjectKind,
+            revision: Long,
+            waitMillis: Long,
+            onBegin: () -> Unit,
+        ): StoreReadResult {
             waits += waitMillis
             return next()
         }
@@ -134,7 +139,12 @@
     fun aChangeIsFoundAlthoughTheWatchIsDead() {
         val store =
             object : PlatformStore by ScriptedStore(listing(1, "a")) {
-                override suspend fun watch(kind: StoreObjectKind, revision: Long, waitMillis: Long): StoreReadResult {
+                override suspend fun watch(
+                    kind: StoreObjectKind,
+                    revision: Long,
+                    waitMillis: Long,
+                    onBegin: () -> Unit,
+                ): StoreReadResult {
                     delay(waitMillis)
                     return changes(2, "a")
                 }
@@ -177,7 +187,12 @@
             return lists(calls.size)
         }
 
-        override suspend fun watch(kind: StoreObjectKind, revision: Long, waitMillis: Long): StoreReadResult {
+        override suspend fun watch(
+            kind: StoreObjectKind,
+            revision: Long,
+            waitMillis: Long,
+            onBegin: () -> Unit,
+        ): StoreReadResult {
             calls += monotonicMillis()
             return watches(calls.size)
         }
