Log software versions of replicas and what a request resumes

Lists of replicas now name the version, and the request log the attempt that is resumed and the last event. No decision uses them yet.

--- a/core/src/main/kotlin/fireflyhinge/forward/RequestMetadata.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/RequestMetadata.kt
@@ -10,6 +10,8 @@
  * @property outputTokens declared limit of output tokens, or null.
  * @property expectedOutputTokens the caller's estimate of output tokens, accurate in half of all cases, or null.
  * @property lastEvent number of the last stream event the caller has received, or null.
+ * @property resumedRequestId id of the caller's attempt that brought the first event of the stream that this one
+ * continues, or null.
  * @property model the model that the request names, or null.
  * @property promptParts ids of the parts of the prompt that other requests may share, in order; without the last part,
  * which belongs to the request or its session.
@@ -22,6 +24,7 @@
     val outputTokens: Int?,
     val expectedOutputTokens: Int?,
     val lastEvent: Long?,
+    val resumedRequestId: String? = null,
     val model: String? = null,
     val promptParts: List<String> = emptyList(),
 ) {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/LogFormat.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/LogFormat.kt
@@ -7,4 +7,5 @@
 internal fun InetSocketAddress.toHostPort(): String = "$hostString:$port"
 
 /** Formats the replica for log lines. */
-internal fun Replica.toLogText(): String = "$id $stage $failureDomain${if (leaving) " leaving" else ""}"
+internal fun Replica.toLogText(): String =
+    listOfNotNull(id, stage, failureDomain, version.ifEmpty { null }, "leaving".takeIf { leaving }).joinToString(" ")
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/RequestLog.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/RequestLog.kt
@@ -55,6 +55,8 @@
             .addKeyValue("service", context.service)
             .addKeyValue("config", context.admission.configVersion)
             .addKeyValue("tokens", context.cost.toLong())
+            .addKeyValue("resumes", context.metadata.resumedRequestId)
+            .addKeyValue("last_event", context.metadata.lastEvent)
             .addKeyValue("parts", context.metadata.promptParts.ifEmpty { null })
             .addKeyValue("millis", millis)
             .addKeyValue("first_event_millis", context.firstEventMillis)
