Keep streams at the software version that began them

Cause: no decision knew the version of a replica.

A VM knows the version from its own streams, from a service that had only one within a minute, or from a few other VMs, which are told of each stream while several versions serve and keep that in the store for their next start. A process whose reservation states another start than the listed one gets no stream.

Stand-ins of the store in three tests have the two new calls; no check was changed.

--- a/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ReplicaTable.kt
@@ -2,10 +2,15 @@
 
 import fireflyhinge.time.MonotonicClock
 
-/** State of all replicas that the platform lists. Thread-safe. */
+/**
+ * State of all replicas that the platform lists. Thread-safe.
+ *
+ * @param versions software versions, which hold decode replicas of a new one back; null to hold none back.
+ */
 class ReplicaTable(
     private val clock: MonotonicClock = MonotonicClock.SYSTEM,
     private val prefillRates: PrefillRates = PrefillRates(clock, enabled = { false }),
+    private val versions: ServiceVersions? = null,
     private val wallMillis: () -> Long = System::currentTimeMillis,
 ) {
     private var states = emptyMap<String, ReplicaState>()
@@ -30,7 +35,10 @@
     /** Replicas of [service] at [stage] that accept new requests. */
     @Synchronized
     fun usable(service: String, stage: ReplicaStage): List<ReplicaState> =
-        listed(service, stage).filter { it.accepting }
+        listed(service, stage).filter { state ->
+            val mayBegin = stage != ReplicaStage.DECODE || versions?.mayBegin(service, state.replica.version) != false
+            state.accepting && mayBegin
+        }
 
     /** Whether [state] belongs to a listed replica that accepts new requests. */
     @Synchronized
@@ -60,7 +68,7 @@
 
     /** All listed replicas of [service] at [stage]. */
     @Synchronized
-    internal fun listed(service: String, stage: ReplicaStage): List<ReplicaState> =
+    fun listed(service: String, stage: ReplicaStage): List<ReplicaState> =
         states.values.filter { it.replica.service == service && it.replica.stage == stage }
 
     /** Tokens of this VM at each replica; replicas without tokens are omitted. */
--- a/core/src/main/kotlin/fireflyhinge/forward/StoreObjectKind.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/StoreObjectKind.kt
@@ -18,6 +18,12 @@
     /** Evidence on traits of requests that crash replicas. */
     CRASHES,
 
+    /** Recent software versions of each service. */
+    VERSIONS,
+
+    /** Where recent streams began, as known to each VM. */
+    STREAMS,
+
     /** Evacuated failure domains. */
     EVACUATIONS(writtenByOperator = true),
 }
--- a/core/src/main/kotlin/fireflyhinge/result/ResultCode.kt
+++ b/core/src/main/kotlin/fireflyhinge/result/ResultCode.kt
@@ -44,6 +44,7 @@
     NO_UPSTREAM(4003, 503, NOT_RUN, "No upstream of the route is available."),
     DRAINING(4004, 503, NOT_RUN, "This VM is draining; use another address."),
     NO_COMMON_REGION(4005, 503, NOT_RUN, "The route and the workspace have no home region in common."),
+    STREAM_ORIGIN_UNKNOWN(4006, 503, NOT_RUN, "It is not known which software version began the stream."),
     UPSTREAM_REFUSED(5001, 502, NOT_RUN, "The upstream refused the request before running it."),
     UPSTREAM_FAILED(5002, 502, RAN, "The upstream answered with an error."),
     UPSTREAM_CONNECT_FAILED(5003, 502, NOT_RUN, "No connection to an upstream could be opened."),
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -18,10 +18,12 @@
 import fireflyhinge.forward.ReplicaSelector
 import fireflyhinge.forward.ReplicaTable
 import fireflyhinge.forward.RetryBudgetShares
+import fireflyhinge.forward.ServiceVersions
 import fireflyhinge.forward.StoreEras
 import fireflyhinge.forward.StoreObjectCache
 import fireflyhinge.forward.StoreObjectKind
 import fireflyhinge.forward.StoreReadResult
+import fireflyhinge.forward.StreamOrigins
 import fireflyhinge.forward.VmRecord
 import fireflyhinge.gateway.fleet.CheckerSelector
 import fireflyhinge.gateway.fleet.ControlHandler
@@ -44,6 +46,11 @@
 import fireflyhinge.gateway.fleet.QuotaProber
 import fireflyhinge.gateway.fleet.StoreMetrics
 import fireflyhinge.gateway.fleet.StoreMirror
+import fireflyhinge.gateway.fleet.StreamOriginExchange
+import fireflyhinge.gateway.fleet.StreamOriginHandler
+import fireflyhinge.gateway.fleet.StreamOriginStore
+import fireflyhinge.gateway.fleet.StreamRecorders
+import fireflyhinge.gateway.fleet.VersionHistory
 import fireflyhinge.gateway.forward.ColdReplicaMonitor
 import fireflyhinge.gateway.forward.ColdSends
 import fireflyhinge.gateway.forward.CrashDetector
@@ -63,6 +70,7 @@
 import fireflyhinge.gateway.forward.ReservationClient
 import fireflyhinge.gateway.forward.SlotReserver
 import fireflyhinge.gateway.forward.StreamForwarder
+import fireflyhinge.gateway.forward.StreamVersionGuard
 import fireflyhinge.gateway.http.ConnectionPool
 import fireflyhinge.gateway.http.HeldMemory
 import fireflyhinge.gateway.http.HttpClient
@@ -89,7 +97,8 @@
     private val domains = FailureDomains(settings.failureDomain, settings.regions)
     private val fleet = FleetView(record(settings))
     private val prefillRates = PrefillRates(enabled = { fleet.exchangeIntervalFactor > 1 })
-    private val table = ReplicaTable(prefillRates = prefillRates)
+    private val versions = ServiceVersions(complete = settings.firstStart) { replicaMirror.version.ageMillis }
+    private val table = ReplicaTable(prefillRates = prefillRates, versions = versions)
     private val era = KnownEra(StoreEras(settings.contactMillis))
     private val store =
         protocols.store(StoreHttpClient(HttpClient(ConnectionPool(io, held = held)), settings.store, era))
@@ -116,6 +125,12 @@
     private val gossip = Gossip(domains, peers, copies, { this.settings.seeds }, updates, evidence, prefillRates)
     private val evidenceBroadcaster = EvidenceBroadcaster(evidence, fleet, peers, io.scope)
     private val guard = CrashGuard(evidence, registry)
+    private val versionHistory = VersionHistory(versions, fleet, store)
+    private val origins = StreamOrigins()
+    private val recorders = StreamRecorders(fleet)
+    private val originStore = StreamOriginStore(origins, versions, settings.vm, recorders, store)
+    private val originExchange = StreamOriginExchange(origins, versions, peers, io.scope, recorders, originStore)
+    private val streamVersions = StreamVersionGuard(origins, versions, table, originExchange::find)
     private val downVms = DownVms(fleet)
     private val quotaHolders = QuotaHolders(fleet, downVms, settings.firstStart)
     private val startCredit = QuotaStartCredit(fleet, downVms)
@@ -202,7 +217,7 @@
                 guard = guard,
                 quota = quotaCharger,
                 plain = PlainForwarder(routing, sender, crashes),
-                streams = StreamForwarder(routing, sender, replicaCalls, crashes, slots),
+                streams = StreamForwarder(routing, sender, replicaCalls, crashes, slots, streamVersions),
             ),
             requestLog = RequestLog(registry),
             stop = plannedStop,
@@ -213,7 +228,9 @@
         HttpListener(
             io,
             settings.control,
-            handler = QueueHandler(queues, ControlHandler(gossip, mirrors, copies, shares, evidence) { config }),
+            handler =
+            ControlHandler(gossip, mirrors, copies, shares, evidence) { config }
+                .let { StreamOriginHandler(origins, originExchange, QueueHandler(queues, it)) },
             memory = held,
         )
     private val discovery =
@@ -248,6 +265,9 @@
         io.scope.launch { evidenceBroadcaster.run() }
         io.scope.launch { evidenceStore.run() }
         io.scope.launch { guard.applyVerdicts() }
+        io.scope.launch { versionHistory.run() }
+        io.scope.launch { originStore.run() }
+        io.scope.launch { originExchange.run() }
         io.scope.launch { coldMonitor.run() }
         io.scope.launch { LoadBroadcaster(io.scope, updates, domains, peers, table).run() }
         log.atInfo().addKeyValue("vm", settings.vm).addKeyValue("front", settings.front).log("started")
@@ -335,6 +355,7 @@
     private fun applyReplicas() {
         if (!evacuations.known) return
         val replicas = protocols.storeObjects.replicas(replicaMirror.state.items().values)
+        if (versions.listed(replicas)) versionHistory.notifyChange()
         table.replace(replicas)
         log.atInfo().addKeyValue("replicas", replicas.map { it.toLogText() })
             .log("replicas listed")
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PlatformStore.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PlatformStore.kt
@@ -3,6 +3,7 @@
 import fireflyhinge.forward.StoreObjectKind
 import fireflyhinge.forward.StoreReadResult
 import fireflyhinge.forward.VmRecord
+import java.io.IOException
 
 /** Client of the platform's store. Every call is priced and counts against a rate limit. */
 interface PlatformStore {
@@ -20,6 +21,12 @@
         onBegin: () -> Unit = {},
     ): StoreReadResult
 
+    /** Spec of object [name] of [kind], or null if there is none. Throws [IOException] if the store does not tell. */
+    suspend fun find(kind: StoreObjectKind, name: String): String?
+
+    /** Writes object [name] of [kind] whatever it holds, in one call if it exists. Returns whether it is confirmed. */
+    suspend fun replace(kind: StoreObjectKind, name: String, body: String): Boolean
+
     /** Writes object [name] of [kind], which belongs to this system. Returns whether the store confirmed the write. */
     suspend fun put(kind: StoreObjectKind, name: String, body: String): Boolean
 
--- /dev/null
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StreamOriginExchange.kt
@@ -0,0 +1,98 @@
+package fireflyhinge.gateway.fleet
+
+import fireflyhinge.forward.ServiceVersions
+import fireflyhinge.forward.StreamOrigin
+import fireflyhinge.forward.StreamOrigins
+import fireflyhinge.forward.VmRecord
+import fireflyhinge.gateway.repeatForever
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+import java.io.IOException
+
+/**
+ * Tells a few other VMs at which software version this VM's streams began, while a service has several versions, and
+ * asks them for streams that a caller continues here. For each stream they are the first of a rendezvous hash.
+ */
+internal class StreamOriginExchange(
+    private val origins: StreamOrigins,
+    private val versions: ServiceVersions,
+    private val peers: PeerClient,
+    private val scope: CoroutineScope,
+    private val recorders: StreamRecorders,
+    private val stored: StreamOriginStore,
+) {
+    /** Where a stream began, or null. If not [complete], a VM that may know was not heard. */
+    class Finding(val origin: StreamOrigin?, val complete: Boolean)
+
+    private val log = LoggerFactory.getLogger(javaClass)
+
+    /** Tells other VMs of new streams until cancelled. */
+    suspend fun run(): Nothing =
+        repeatForever(log, "telling where streams began") {
+            delay(BATCH_MILLIS)
+            val untold = origins.takeUntold { versions.only(it) == null }
+            untold.keys
+                .flatMap { id -> recorders.othersOf(id, HOLDERS).map { it to id } }
+                .groupBy({ it.first }, { it.second })
+                .forEach { (vm, ids) -> scope.launch { tell(vm, ids.associateWith(untold::getValue)) } }
+        }
+
+    /** Where stream [id] of a caller began, as far as this VM and those that it asks know. */
+    suspend fun find(id: String): Finding {
+        val loaded = stored.awaitLoaded()
+        origins.find(id)?.let { return Finding(it, complete = true) }
+        val asked = recorders.othersOf(id, MAX_ASKED)
+        return coroutineScope {
+            val answers = Channel<Finding>(asked.size)
+            asked.forEach { vm -> launch { answers.send(ask(vm, id)) } }
+            val findings = ArrayList<Finding>()
+            while (findings.size < asked.size && findings.none { it.origin != null }) findings += answers.receive()
+            coroutineContext.cancelChildren()
+            val origin = findings.firstNotNullOfOrNull { it.origin }?.also { origins.told(mapOf(id to it)) }
+            Finding(origin, complete = loaded && asked.isNotEmpty() && findings.all { it.complete })
+        }
+    }
+
+    /** Returns what this VM alone knows of the streams [ids]. */
+    suspend fun answer(ids: List<String>): Map<String, StreamOrigin> {
+        stored.awaitLoaded()
+        return ids.mapNotNull { id -> origins.find(id)?.let { id to it } }.toMap()
+    }
+
+    private suspend fun tell(vm: VmRecord, begun: Map<String, StreamOrigin>) {
+        try {
+            peers.post(vm.control, TELL_PATH, StreamOriginCodec.encode(begun))
+        } catch (e: IOException) {
+            log.debug("telling VM {} where streams began failed: {}", vm.name, e.message)
+        }
+    }
+
+    private suspend fun ask(vm: VmRecord, id: String): Finding =
+        try {
+            val reply = peers.post(vm.control, ASK_PATH, StreamOriginCodec.encodeIds(listOf(id)))
+            Finding(StreamOriginCodec.decode(reply)[id], complete = true)
+        } catch (e: IOException) {
+            log.debug("asking VM {} where a stream began failed: {}", vm.name, e.message)
+            Finding(origin = null, complete = false)
+        }
+
+    companion object {
+        /** Paths of the control interface. */
+        const val TELL_PATH = "/peer/v1/stream-origins"
+        const val ASK_PATH = "/peer/v1/stream-origins/find"
+
+        /** Streams that begin within this time are told together; callers need longer to come back. */
+        private const val BATCH_MILLIS = 100L
+
+        /** Survives the loss of two of them together with the VM that began the stream. */
+        private const val HOLDERS = 3
+
+        /** VMs may differ in which others they count, so more are asked than were told. */
+        private const val MAX_ASKED = 6
+    }
+}
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeAccounting.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeAccounting.kt
@@ -61,6 +61,7 @@
     fun obstacle(state: ReplicaState): String? =
         when {
             context.barred -> "such requests crash replicas"
+            context.origin?.includes(state.replica) == false -> "another version began the stream"
             state.evacuated -> "its failure domain is evacuated"
             state.availability.backoffMillis > 0 -> "it asked for a pause"
             else -> null
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/DecodeSession.kt
@@ -2,11 +2,11 @@
 
 import fireflyhinge.forward.EventSequence
 import fireflyhinge.forward.EventSplitter
+import fireflyhinge.forward.Replica
 import fireflyhinge.forward.ReplicaState
 import fireflyhinge.forward.StreamEvent
 import fireflyhinge.gateway.http.ConnectFailedException
 import fireflyhinge.gateway.http.OutboundConnection
-import fireflyhinge.gateway.http.ResponseWriter
 import io.netty.handler.codec.http.HttpResponse
 import java.io.IOException
 
@@ -19,10 +19,11 @@
     private val sender: ReplicaSender,
     private val context: RequestContext,
     private val order: EventSequence,
-    private val response: ResponseWriter,
+    private val output: StreamOutput,
     private val watch: LivenessWatch,
     private val crashes: CrashDetector,
 ) {
+    private lateinit var replica: Replica
     private val progress = RunProgress { crashes.recordSound(context, it) }
     private var opened: ReplicaExchange? = null
     private var openedHead: HttpResponse? = null
@@ -71,6 +72,7 @@
         block: suspend (ReplicaExchange) -> DecodeOutcome?,
     ): DecodeOutcome? =
         try {
+            if (opened == null) replica = state.replica
             block(opened ?: sender.connect(state, context.request, context.metadata.expectedKvTokens))
         } catch (e: ConnectFailedException) {
             DecodeOutcome.NotSent(e.message.orEmpty())
@@ -98,9 +100,8 @@
             watch.setWaiting(false)
             val complete = events.add(bytes)
             complete.forEach { event ->
-                if (order.hasGapBefore(event)) return interrupted("an event is missing")
-                if (order.lacksNumber(event)) return interrupted("an event without an id")
-                if (order.accept(event) && !(event.comment && order.awaitingFirstEvent)) forward(event, head)
+                flaw(event)?.let { return interrupted(it) }
+                if (order.accept(event) && !(event.comment && order.awaitingFirstEvent)) output.forward(event, head)
             }
             // Other bytes are no progress for the caller: a stalled replica may send some now and then.
             if (complete.any { !it.comment }) {
@@ -111,18 +112,20 @@
         }
     }
 
-    private suspend fun forward(event: StreamEvent, head: HttpResponse) {
-        // The caller's response keeps the head sent by the first replica.
-        if (!response.started) response.start(OK, sender.toCaller(head.headers()))
-        response.write(event.bytes)
-        context.recordForwardedEvent()
-    }
+    /** Why [event] may not follow those that the caller has, or null. */
+    private fun flaw(event: StreamEvent): String? =
+        when {
+            order.hasGapBefore(event) -> "an event is missing"
+            order.lacksNumber(event) -> "an event without an id"
+            !output.admits(replica) -> "another version began the stream"
+            else -> null
+        }
 
     private suspend fun end(events: EventSplitter): ReadResult<DecodeOutcome> {
         if (events.partial) return interrupted("ended inside an event")
         // A resumed run that sends no event of its own does not prove that the stream was already complete.
-        if (!response.started || order.awaitingFirstEvent) return interrupted("ended without an event")
-        response.finish()
+        if (!output.started || order.awaitingFirstEvent) return interrupted("ended without an event")
+        output.finish()
         progress.recordEnd()
         return ReadResult.Complete(DecodeOutcome.Completed)
     }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaRouting.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReplicaRouting.kt
@@ -25,7 +25,13 @@
         if (largeFleet()) PrefillTimeout.retryableMillis(objectiveMillis) else PrefillTimeout.RETRY_MILLIS
 
     /** Restricts the replicas that may serve the request of [context]. */
-    fun filter(context: RequestContext): ReplicaFilter = selector.within(context.admission.homeRegions)
+    fun filter(context: RequestContext): ReplicaFilter {
+        val regions = selector.within(context.admission.homeRegions)
+        val origin = context.origin ?: return regions
+        return ReplicaFilter { state ->
+            regions.allows(state) && (state.replica.stage != ReplicaStage.DECODE || origin.includes(state.replica))
+        }
+    }
 
     /**
      * Returns the refusal [failure] with a Retry-After that follows from the pauses that the replicas for [context] at
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/RequestContext.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/RequestContext.kt
@@ -3,6 +3,7 @@
 import fireflyhinge.forward.Admission
 import fireflyhinge.forward.RequestMetadata
 import fireflyhinge.forward.RequestTraits
+import fireflyhinge.forward.StreamOrigin
 import fireflyhinge.gateway.http.CallerRequest
 import fireflyhinge.gateway.http.monotonicMillis
 import kotlin.random.Random
@@ -16,9 +17,20 @@
     val request: CallerRequest,
     val metadata: RequestMetadata,
     val admission: Admission,
-    val service: String,
+    service: String,
     val deadlineMillis: Long,
 ) {
+    /** The service whose replicas serve the request. */
+    var service = service
+        private set
+
+    /** Where the stream began that the caller has events of; set before its first event is forwarded. */
+    var origin: StreamOrigin? = null
+        set(value) {
+            field = value
+            value?.let { service = it.service }
+        }
+
     /** Traits that the request shares with others. */
     val traits: RequestTraits by lazy(LazyThreadSafetyMode.NONE) {
         RequestTraits.of(metadata, service) {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/RequestLog.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/RequestLog.kt
@@ -57,6 +57,7 @@
             .addKeyValue("tokens", context.cost.toLong())
             .addKeyValue("resumes", context.metadata.resumedRequestId)
             .addKeyValue("last_event", context.metadata.lastEvent)
+            .addKeyValue("version", context.origin?.version)
             .addKeyValue("parts", context.metadata.promptParts.ifEmpty { null })
             .addKeyValue("millis", millis)
             .addKeyValue("first_event_millis", context.firstEventMillis)
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReservationClient.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReservationClient.kt
@@ -64,6 +64,9 @@
                 issuedId = { reply -> if (reply.status == OK) check(protocol.reservation(reply.body)) else null },
             )
         record(state, response)
+        if (response.status == OK && isOtherProcess(state, response)) {
+            return Reservation.NoResponse("another process has this id")
+        }
         return when (response.status) {
             OK -> protocol.reservation(response.body)?.let { Reservation.Granted(it) } ?: Reservation.Unsupported
             FULL -> Reservation.Full
@@ -72,6 +75,12 @@
         }
     }
 
+    /** A replica that starts again under its id may have other software than the one listed. */
+    private fun isOtherProcess(state: ReplicaState, response: BufferedResponse): Boolean {
+        val listed = state.replica.startedAt
+        return listed > 0 && protocol.startedAt(response.body).let { it != null && it != listed }
+    }
+
     private fun record(state: ReplicaState, response: BufferedResponse) =
         notices.record(state, replies.reply(response.status, response.headers))
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReservationProtocol.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/ReservationProtocol.kt
@@ -14,6 +14,9 @@
     /** The id of the reservation granted by a response with [body], or null. */
     fun reservation(body: ByteArray): String?
 
+    /** Unix milliseconds of the start of the process that sent a response with [body], or null if not stated. */
+    fun startedAt(body: ByteArray): Long?
+
     /** Path of the `DELETE` call that releases [reservation]. */
     fun releaseReservationPath(reservation: String): String
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/SlotReserver.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/SlotReserver.kt
@@ -28,8 +28,10 @@
         untilMillis: Long,
         resumed: Boolean,
     ): DecodeTarget? {
-        // A response that has begun cannot wait for its turn, and a queue covers replicas outside of home regions.
-        val mayQueue = untilMillis > 0 && !resumed && queue.enabled && context.admission.homeRegions == null
+        // A response that has begun cannot wait for its turn, and a queue covers the replicas of all regions and
+        // versions.
+        val anyReplica = context.admission.homeRegions == null && context.origin == null
+        val mayQueue = untilMillis > 0 && !resumed && queue.enabled && anyReplica
         if (mayQueue) {
             val direct = if (queue.contended(context.service)) null else reserveAtOnce(context, excluded)
             if (direct != null) return direct
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -13,11 +13,13 @@
     private val reservations: ReservationClient,
     private val crashes: CrashDetector,
     private val slots: SlotReserver,
+    private val versions: StreamVersionGuard,
 ) {
     private val prefillDispatcher = PrefillDispatcher(routing, sender, crashes)
 
     /** Prefills, decodes, and forwards the events to [response]. A resumable stream that breaks continues elsewhere. */
     suspend fun run(context: RequestContext, response: ResponseWriter): ForwardResult {
+        versions.refusal(context)?.let { return ForwardResult.Failed(it) }
         routing.retries.recordRequest(context.service)
         val attempts = DecodeAttempts(context.metadata.lastEvent)
         val route = context.admission.route
@@ -54,11 +56,16 @@
             context.attemptLog += "all decode replicas are evacuated"
             return null
         }
+        if (versions.versionGone(context)) {
+            context.attemptLog += "no replica of the version that began the stream"
+            return null
+        }
         // Callers wait longer for an interrupted stream to resume than for a response to begin.
         val until = if (response.started) monotonicMillis() + RESUME_SLOT_WAIT_MILLIS else slotDeadlineMillis
         val target =
             routing.cold.claimed(until, ::releaseReservation) {
-                slots.reserve(context, attempts.excluded, until, resumed = response.started)
+                // A continued stream may use memory that is reserved from new ones, also at another VM.
+                slots.reserve(context, attempts.excluded, until, resumed = response.started || context.origin != null)
             }
         val reachable = routing.filter(context)::allows
         if (target == null && !routing.cold.blocks(context, ReplicaStage.DECODE, attempts.excluded, reachable)) {
@@ -246,7 +253,7 @@
             sender,
             context,
             attempts.order,
-            response,
+            StreamOutput(context, response, sender, versions),
             LivenessWatch(
                 attempts.order,
                 if (attempts.mayResume(context, running)) Failover(context, attempts, response) else null,
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/CopyExchangeTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/CopyExchangeTest.kt
@@ -43,6 +43,10 @@
             onBegin: () -> Unit,
         ) = awaitCancellation()
 
+        override suspend fun find(kind: StoreObjectKind, name: String): String? = null
+
+        override suspend fun replace(kind: StoreObjectKind, name: String, body: String) = false
+
         override suspend fun register(record: VmRecord) = false
 
         override suspend fun put(kind: StoreObjectKind, name: String, body: String) = false
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/OwnEntryTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/OwnEntryTest.kt
@@ -29,6 +29,10 @@
         val times = ConcurrentLinkedQueue<Long>()
         override val era = KnownEra()
 
+        override suspend fun find(kind: StoreObjectKind, name: String): String? = null
+
+        override suspend fun replace(kind: StoreObjectKind, name: String, body: String) = false
+
         override suspend fun register(record: VmRecord): Boolean {
             times += monotonicMillis()
             era.onWrite(times.size)
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/StoreMirrorTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/StoreMirrorTest.kt
@@ -50,6 +50,10 @@
             return next()
         }
 
+        override suspend fun find(kind: StoreObjectKind, name: String): String? = null
+
+        override suspend fun replace(kind: StoreObjectKind, name: String, body: String) = false
+
         override suspend fun register(record: VmRecord) = true
 
         override suspend fun put(kind: StoreObjectKind, name: String, body: String) = true
