Begin streams at a new version at once if the old one leaves

Cause: streams begin at a new software version only 3 s after it is listed, as long as another one is listed. In a release that replaces all replicas at once, the old ones are listed while they drain, so no replica took new streams for up to 2 s (read in, not seen by a caller).

Change: versions count only while a replica that does not leave is listed. A retry is no longer taken from the budget for a stream whose version is gone.

--- a/core/src/main/kotlin/fireflyhinge/forward/ServiceVersions.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ServiceVersions.kt
@@ -18,7 +18,10 @@
     private var complete: Boolean = false,
     private val listAgeMillis: () -> Long?,
 ) {
-    private class Presence(val since: Long, var until: Long?)
+    private class Presence(val since: Long, var until: Long?) {
+        /** Whether a replica that does not leave is listed. */
+        var accepting = false
+    }
 
     private val services = HashMap<String, HashMap<String, Presence>>()
     private var listedSince: Long? = null
@@ -30,11 +33,16 @@
         // Versions in the first list may have served for long.
         val since = if (listedSince == null) now - SETTLE_MILLIS else now
         if (listedSince == null) listedSince = now
-        val present = replicas.filter { it.stage == ReplicaStage.DECODE }.groupBy({ it.service }, { it.version })
+        val present = replicas.filter { it.stage == ReplicaStage.DECODE }.groupBy { it.service }
         return (services.keys + present.keys).map { service ->
             val known = services.getOrPut(service) { HashMap() }
+            val listed = present[service].orEmpty()
             known.values.removeAll { presence -> presence.until?.let { now - it > MEMORY_MILLIS } == true }
-            update(known, present[service].orEmpty().toSet(), since, now)
+            val changed = update(known, listed.map { it.version }.toSet(), since, now)
+            known.forEach { (version, presence) ->
+                presence.accepting = listed.any { it.version == version && !it.leaving }
+            }
+            changed
         }.any { it }
     }
 
@@ -81,12 +89,12 @@
             .keys.singleOrNull()
     }
 
-    /** Whether streams of [service] may begin at [version]: all VMs know of it, or of no other one that is listed. */
+    /** Whether streams of [service] may begin at [version]: all VMs know of it, or no other one accepts requests. */
     @Synchronized
     fun mayBegin(service: String, version: String): Boolean {
         val settled = { presence: Presence -> clock.millis() - presence.since >= SETTLE_MILLIS }
-        val present = services[service].orEmpty().filterValues { it.until == null }
-        return present[version]?.let(settled) == true || present.values.none(settled)
+        val accepting = services[service].orEmpty().filterValues { it.accepting }
+        return accepting[version]?.let(settled) == true || accepting.values.none(settled)
     }
 
     companion object {
--- a/core/src/test/kotlin/fireflyhinge/forward/ServiceVersionsTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/ServiceVersionsTest.kt
@@ -93,4 +93,15 @@
         versions.list("v3")
         assertTrue(versions.mayBegin("engine", "v3"), "no other version is left")
     }
+
+    /** Guards against refusals while a release replaces all replicas of a service at once. */
+    @Test
+    fun streamsBeginAtANewVersionAtOnceIfTheOldOneLeaves() {
+        val versions = versions(firstStart = true).also { it.list("v1") }
+        val (leaving, new) = replicas("v1", "v2")
+        versions.listed(listOf(leaving, new))
+        assertFalse(versions.mayBegin("engine", "v2"))
+        versions.listed(listOf(leaving.copy(leaving = true), new))
+        assertTrue(versions.mayBegin("engine", "v2"))
+    }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamForwarder.kt
@@ -48,6 +48,10 @@
         slotDeadlineMillis: Long,
         response: ResponseWriter,
     ): DecodeTarget? {
+        if (versions.versionGone(context)) {
+            context.attemptLog += "no replica of the version that began the stream"
+            return null
+        }
         if (attempts.arrived && !routing.retries.tryAcquire(context.service)) {
             context.attemptLog += "no retry budget left"
             return null
@@ -56,10 +60,6 @@
             context.attemptLog += "all decode replicas are evacuated"
             return null
         }
-        if (versions.versionGone(context)) {
-            context.attemptLog += "no replica of the version that began the stream"
-            return null
-        }
         // Callers wait longer for an interrupted stream to resume than for a response to begin.
         val until = if (response.started) monotonicMillis() + RESUME_SLOT_WAIT_MILLIS else slotDeadlineMillis
         val target =
