Expect the new kinds and messages of streams in messages between VMs

They come last, so that the others keep their places, and the test also expects the messages on where streams began. Nothing that it checked was left out.

--- a/core/src/main/kotlin/fireflyhinge/forward/StoreObjectKind.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/StoreObjectKind.kt
@@ -1,7 +1,7 @@
 package fireflyhinge.forward
 
 /**
- * Kinds of objects in the platform's store that VMs watch.
+ * Kinds of objects in the platform's store.
  *
  * @property writtenByOperator whether the operator writes the objects; otherwise replicas or this system do.
  */
@@ -18,12 +18,12 @@
     /** Evidence on traits of requests that crash replicas. */
     CRASHES,
 
+    /** Evacuated failure domains. */
+    EVACUATIONS(writtenByOperator = true),
+
     /** Recent software versions of each service. */
     VERSIONS,
 
     /** Where recent streams began, as known to each VM. */
     STREAMS,
-
-    /** Evacuated failure domains. */
-    EVACUATIONS(writtenByOperator = true),
 }
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
@@ -7,6 +7,7 @@
 import fireflyhinge.forward.PrefillRate
 import fireflyhinge.forward.StoreItem
 import fireflyhinge.forward.StoreObjectKind
+import fireflyhinge.forward.StreamOrigin
 import fireflyhinge.forward.StoreReadResult
 import fireflyhinge.forward.Trait
 import fireflyhinge.forward.TraitReport
@@ -151,7 +152,8 @@
         val vms =
             """{"name":"vm-1","front":"10.1.0.3:80","control":"10.1.0.3:81","failure_domain":"north",""" +
                 """"started_at":5,"beat":7,"ready":true,"tokens":{"r1":9}}"""
-        val revisions = """{"CONFIGURATION":0,"REPLICAS":1,"VMS":2,"CRASHES":3,"EVACUATIONS":4}"""
+        val revisions = """{"CONFIGURATION":0,"REPLICAS":1,"VMS":2,"CRASHES":3,"EVACUATIONS":4,""" +
+            """"VERSIONS":5,"STREAMS":6}"""
         val copies = StoreObjectKind.entries.associateWith { CopyVersion(it.ordinal.toLong()) }
         val exchange = PeerStateMessage(listOf(vm), copies)
         val confirming =
@@ -174,6 +176,9 @@
                 PeerMessages.encode(listing) to
                     """{"revision":4,"items":[{"name":"a","revision":3,"body":"{}"}]}""",
                 PeerMessages.encodeLoan("w", 2.5) to """{"workspace":"w","tokens":2.5}""",
+                StreamOriginCodec.encode(mapOf("a1" to StreamOrigin("engine", "v1"))) to
+                    """{"streams":[{"service":"engine","version":"v1","ids":["a1"]}]}""",
+                StreamOriginCodec.encodeIds(listOf("a1")) to """{"ids":["a1"]}""",
             )
         assertEquals(cases.values.toList(), cases.keys.map { it.decodeToString() })
         listOf(exchange, exchange.copy(evidence = evidence), confirming).forEach {
