--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
@@ -7,8 +7,8 @@
 import fireflyhinge.forward.PrefillRate
 import fireflyhinge.forward.StoreItem
 import fireflyhinge.forward.StoreObjectKind
-import fireflyhinge.forward.StreamOrigin
 import fireflyhinge.forward.StoreReadResult
+import fireflyhinge.forward.StreamOrigin
 import fireflyhinge.forward.Trait
 import fireflyhinge.forward.TraitReport
 import fireflyhinge.forward.VmRecord
