Wake up less for streams, and read the store with growing pauses

Cause: a VM whose store was away at its start read its streams again every 200 ms and logged each failure, and each VM looked for new streams every 100 ms even if it had none.

Change: failed reads are repeated with CallBackoff and logged once; without streams to tell, the check comes every 300 ms.

--- a/core/src/main/kotlin/fireflyhinge/forward/StreamOrigins.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/StreamOrigins.kt
@@ -16,6 +16,9 @@
         @Synchronized get
         private set
 
+    /** Whether no stream waits to be told to other VMs. */
+    val allTold: Boolean @Synchronized get() = untold.isEmpty()
+
     /** Records that this VM forwards the first event of stream [id], before it does. */
     @Synchronized
     fun began(id: String, origin: StreamOrigin) {
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StreamOriginExchange.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StreamOriginExchange.kt
@@ -34,7 +34,7 @@
     /** Tells other VMs of new streams until cancelled. */
     suspend fun run(): Nothing =
         repeatForever(log, "telling where streams began") {
-            delay(BATCH_MILLIS)
+            delay(if (origins.allTold) IDLE_MILLIS else BATCH_MILLIS)
             val untold = origins.takeUntold { versions.only(it) == null }
             untold.keys
                 .flatMap { id -> recorders.othersOf(id, HOLDERS).map { it to id } }
@@ -89,6 +89,9 @@
         /** Streams that begin within this time are told together; callers need longer to come back. */
         private const val BATCH_MILLIS = 100L
 
+        /** Time after which the first stream for a while is noticed. */
+        private const val IDLE_MILLIS = 300L
+
         /** Survives the loss of two of them together with the VM that began the stream. */
         private const val HOLDERS = 3
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StreamOriginStore.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StreamOriginStore.kt
@@ -1,5 +1,6 @@
 package fireflyhinge.gateway.fleet
 
+import fireflyhinge.forward.CallBackoff
 import fireflyhinge.forward.ServiceVersions
 import fireflyhinge.forward.StoreObjectKind
 import fireflyhinge.forward.StreamOrigins
@@ -22,6 +23,7 @@
     private val store: PlatformStore,
 ) {
     private val log = LoggerFactory.getLogger(javaClass)
+    private val backoff = CallBackoff()
     private val loaded = CompletableDeferred<Unit>()
     private var stored = 0L
 
@@ -30,7 +32,8 @@
 
     /** Reads what is stored, and then keeps it up to date until cancelled. */
     suspend fun run(): Nothing {
-        while (!load()) delay(LOAD_RETRY_MILLIS)
+        var failures = 0
+        while (!load(isFirst = failures == 0)) delay(backoff.millis(++failures))
         loaded.complete(Unit)
         stored = origins.count
         repeatForever(log, "storing where streams began") {
@@ -39,14 +42,14 @@
         }
     }
 
-    private suspend fun load(): Boolean =
+    private suspend fun load(isFirst: Boolean): Boolean =
         try {
             val body = store.find(StoreObjectKind.STREAMS, vm)
             if (body != null) origins.told(StreamOriginCodec.decode(body.toByteArray()))
             log.atInfo().addKeyValue("streams", origins.count).log("read where streams began")
             true
         } catch (e: IOException) {
-            log.atWarn().addKeyValue("reason", e.message).log("could not read where streams began")
+            if (isFirst) log.atWarn().addKeyValue("reason", e.message).log("could not read where streams began")
             false
         }
 
@@ -62,7 +65,6 @@
     private companion object {
         /** Streams that began within this time before a kill of all VMs are lost. */
         const val INTERVAL_MILLIS = 1_000L
-        const val LOAD_RETRY_MILLIS = 200L
 
         /** Less than the time in which a VM that asks expects the answer. */
         const val LOAD_WAIT_MILLIS = 400L
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/VersionHistory.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/VersionHistory.kt
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.databind.ObjectMapper
+import fireflyhinge.forward.CallBackoff
 import fireflyhinge.forward.FleetView
 import fireflyhinge.forward.ServiceVersions
 import fireflyhinge.forward.StoreItem
@@ -24,6 +25,7 @@
 ) {
     private val log = LoggerFactory.getLogger(javaClass)
     private val mapper = ObjectMapper()
+    private val backoff = CallBackoff()
     private val changes = Channel<Unit>(Channel.CONFLATED)
 
     /** Tells that a version came or went. */
@@ -33,7 +35,8 @@
 
     /** Reads what is stored, and then keeps it up to date until cancelled. */
     suspend fun run(): Nothing {
-        while (!read()) delay(RETRY_MILLIS)
+        var failures = 0
+        while (!read()) delay(backoff.millis(++failures))
         repeatForever(log, "storing software versions") {
             changes.receive()
             val rank = fleet.ordered(ORDER).indexOfFirst { it.name == fleet.self.name }
