--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/CopyExchangeTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/CopyExchangeTest.kt
@@ -4,14 +4,12 @@
 import fireflyhinge.forward.StoreItem
 import fireflyhinge.forward.StoreObjectKind
 import fireflyhinge.forward.StoreReadResult
-import fireflyhinge.forward.VmRecord
 import fireflyhinge.gateway.http.ConnectionPool
 import fireflyhinge.gateway.http.HttpClient
 import fireflyhinge.gateway.http.HttpListener
 import fireflyhinge.gateway.http.IoLoop
 import fireflyhinge.gateway.http.ResponseWriter
 import io.netty.handler.codec.http.DefaultHttpHeaders
-import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.junit.jupiter.api.AfterEach
@@ -31,27 +29,8 @@
     @AfterEach
     fun stop() = io.close()
 
-    private inner class RefusingStore : PlatformStore {
-        override val era = KnownEra()
-
+    private class RefusingStore : StubStore() {
         override suspend fun list(kind: StoreObjectKind) = StoreReadResult.Unavailable("status 503")
-
-        override suspend fun watch(
-            kind: StoreObjectKind,
-            revision: Long,
-            waitMillis: Long,
-            onBegin: () -> Unit,
-        ) = awaitCancellation()
-
-        override suspend fun find(kind: StoreObjectKind, name: String): String? = null
-
-        override suspend fun replace(kind: StoreObjectKind, name: String, body: String) = false
-
-        override suspend fun register(record: VmRecord) = false
-
-        override suspend fun put(kind: StoreObjectKind, name: String, body: String) = false
-
-        override suspend fun remove(kind: StoreObjectKind, name: String) = false
     }
 
     /** Guards against copies that spread too slowly from the only VM that the store serves. */
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/OwnEntryTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/OwnEntryTest.kt
@@ -1,13 +1,10 @@
 package fireflyhinge.gateway.fleet
 
 import fireflyhinge.forward.FleetView
-import fireflyhinge.forward.StoreObjectKind
-import fireflyhinge.forward.StoreReadResult
 import fireflyhinge.forward.VmRecord
 import fireflyhinge.gateway.http.monotonicMillis
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
 import org.junit.jupiter.api.AfterEach
@@ -24,34 +21,15 @@
     fun stop() = scope.cancel()
 
     /** Confirms or refuses writes in order, and then confirms them; [onWrite] runs during each. */
-    private inner class Writes(vararg confirmed: Boolean, val onWrite: KnownEra.(Int) -> Unit = {}) : PlatformStore {
+    private class Writes(vararg confirmed: Boolean, val onWrite: KnownEra.(Int) -> Unit = {}) : StubStore() {
         private val left = ArrayDeque(confirmed.asList())
         val times = ConcurrentLinkedQueue<Long>()
-        override val era = KnownEra()
-
-        override suspend fun find(kind: StoreObjectKind, name: String): String? = null
-
-        override suspend fun replace(kind: StoreObjectKind, name: String, body: String) = false
 
         override suspend fun register(record: VmRecord): Boolean {
             times += monotonicMillis()
             era.onWrite(times.size)
             return left.removeFirstOrNull() ?: true
         }
-
-        override suspend fun list(kind: StoreObjectKind): StoreReadResult = awaitCancellation()
-
-        override suspend fun watch(
-            kind: StoreObjectKind,
-            revision: Long,
-            waitMillis: Long,
-            onBegin: () -> Unit,
-        ): StoreReadResult =
-            awaitCancellation()
-
-        override suspend fun put(kind: StoreObjectKind, name: String, body: String) = true
-
-        override suspend fun remove(kind: StoreObjectKind, name: String) = true
     }
 
     private fun writes(store: Writes, millis: Long): List<Long> {
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/StoreMirrorTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/StoreMirrorTest.kt
@@ -4,7 +4,6 @@
 import fireflyhinge.forward.StoreItem
 import fireflyhinge.forward.StoreObjectKind
 import fireflyhinge.forward.StoreReadResult
-import fireflyhinge.forward.VmRecord
 import fireflyhinge.gateway.http.monotonicMillis
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -29,8 +28,7 @@
     fun stop() = scope.cancel()
 
     /** Gives its answers in order, and then none. */
-    private inner class ScriptedStore(vararg answers: StoreReadResult) : PlatformStore {
-        override val era = KnownEra()
+    private inner class ScriptedStore(vararg answers: StoreReadResult) : StubStore() {
         private val left = ArrayDeque(answers.asList())
 
         private suspend fun next(): StoreReadResult {
@@ -49,16 +47,6 @@
             waits += waitMillis
             return next()
         }
-
-        override suspend fun find(kind: StoreObjectKind, name: String): String? = null
-
-        override suspend fun replace(kind: StoreObjectKind, name: String, body: String) = false
-
-        override suspend fun register(record: VmRecord) = true
-
-        override suspend fun put(kind: StoreObjectKind, name: String, body: String) = true
-
-        override suspend fun remove(kind: StoreObjectKind, name: String) = true
     }
 
     private fun follow(vararg answers: StoreReadResult): StoreMirror = follow(ScriptedStore(*answers))
