Read large configurations from the store once in each region

Cause: in a large fleet each VM read the whole configuration from the store at each change. Thirty VMs that share 42 Mbit/s take 1.9 s for one of 1,400 routes; changes that came meanwhile waited for that read, for a pause, and for a read of their own. Callers were served by an older configuration 4.3 and 4.7 s after the change.

A VM that gets no usable response, or whose own check of the store finds a change first, watches the store itself.

--- a/core/src/main/kotlin/fireflyhinge/forward/StoreReadResult.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/StoreReadResult.kt
@@ -5,6 +5,9 @@
     /** All objects of a kind at [revision] of [era]. */
     data class Listing(val items: List<StoreItem>, val revision: Long, val era: Long = 0) : StoreReadResult
 
+    /** The copy of another VM, which is newer than this one's. */
+    data class PeerCopy(val listing: Listing, val vm: String) : StoreReadResult
+
     /** Objects changed and removed since the requested revision; the next watch starts at [revision] of [era]. */
     data class Changes(
         val changed: List<StoreItem>,
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -28,6 +28,8 @@
 import fireflyhinge.gateway.fleet.CheckerSelector
 import fireflyhinge.gateway.fleet.ControlHandler
 import fireflyhinge.gateway.fleet.CopyExchange
+import fireflyhinge.gateway.fleet.CopyFeed
+import fireflyhinge.gateway.fleet.CopyFeedHandler
 import fireflyhinge.gateway.fleet.EvacuationGuard
 import fireflyhinge.gateway.fleet.EvidenceBroadcaster
 import fireflyhinge.gateway.fleet.EvidenceStore
@@ -39,6 +41,7 @@
 import fireflyhinge.gateway.fleet.OwnedQueues
 import fireflyhinge.gateway.fleet.PeerClient
 import fireflyhinge.gateway.fleet.PeerQuotaBorrower
+import fireflyhinge.gateway.fleet.PeerWatch
 import fireflyhinge.gateway.fleet.QueueCapacity
 import fireflyhinge.gateway.fleet.QueueClient
 import fireflyhinge.gateway.fleet.QueueHandler
@@ -104,22 +107,27 @@
         protocols.store(StoreHttpClient(HttpClient(ConnectionPool(io, held = held)), settings.store, era))
     private val ownEntry = OwnEntry(store, fleet)
     private val checker = CheckerSelector(fleet, domains)
+    private val peerPool = ConnectionPool(io, defaultIdleLimitMillis = PEER_IDLE_MILLIS, held = held)
+    private val peers = PeerClient(HttpClient(peerPool))
+    private val configFeed = CopyFeed()
+    private val configWatch = PeerWatch(peers, checker::watched)
     private val configMirror =
-        StoreMirror(StoreObjectKind.CONFIGURATION, store, io.scope, checker::isSelf, ::applyConfig)
+        StoreMirror(StoreObjectKind.CONFIGURATION, store, io.scope, checker::isSelf, configWatch) {
+            configFeed.publish(it)
+            applyConfig(it)
+        }
     private val replicaMirror: StoreMirror =
         StoreMirror(StoreObjectKind.REPLICAS, store, io.scope, checker::isSelf) { applyReplicas() }
     private val evidence = CrashEvidence()
     private val evidenceStore = EvidenceStore(evidence, fleet, store)
     private val evidenceMirror =
-        StoreMirror(StoreObjectKind.CRASHES, store, io.scope, checker::isSelf, evidenceStore::read)
+        StoreMirror(StoreObjectKind.CRASHES, store, io.scope, checker::isSelf, onChange = evidenceStore::read)
     private val evacuations = EvacuationGuard(table, settings.evacuationMillis, registry, ::applyReplicas)
     private val evacuationMirror =
         settings.evacuationMillis?.let {
-            StoreMirror(StoreObjectKind.EVACUATIONS, store, io.scope, checker::isSelf, evacuations::apply)
+            StoreMirror(StoreObjectKind.EVACUATIONS, store, io.scope, checker::isSelf, onChange = evacuations::apply)
         }
     private val mirrors = listOfNotNull(configMirror, replicaMirror, evidenceMirror, evacuationMirror)
-    private val peerPool = ConnectionPool(io, defaultIdleLimitMillis = PEER_IDLE_MILLIS, held = held)
-    private val peers = PeerClient(HttpClient(peerPool))
     private val updates = FleetUpdates(fleet, table, ::ready)
     private val copies = CopyExchange(mirrors, peers, io.scope, checker::other)
     private val gossip = Gossip(domains, peers, copies, { this.settings.seeds }, updates, evidence, prefillRates)
@@ -230,6 +238,7 @@
             settings.control,
             handler =
             ControlHandler(gossip, mirrors, copies, shares, evidence) { config }
+                .let { CopyFeedHandler(mapOf(StoreObjectKind.CONFIGURATION to configFeed), it) }
                 .let { StreamOriginHandler(origins, originExchange, QueueHandler(queues, it)) },
             memory = held,
         )
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CheckedWatch.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CheckedWatch.kt
@@ -14,12 +14,14 @@
  * not distinguish a store without news from a dead connection.
  *
  * @param checksFirst whether this VM is the one that checks for the others.
+ * @param peers watches another VM instead of the store where it can.
  */
 internal class CheckedWatch(
     private val kind: StoreObjectKind,
     private val store: PlatformStore,
     private val freshness: CopyFreshness,
     private val checksFirst: () -> Boolean,
+    private val peers: PeerWatch? = null,
 ) {
     /** Whether a response to the watch is arriving. */
     @Volatile
@@ -36,7 +38,7 @@
         coroutineScope {
             val reads =
                 listOf(
-                    async { store.watch(kind, revision, WATCH_MILLIS) { receiving = true } },
+                    async { change(revision, era) },
                     async { check(revision, era) },
                     async { store.era.awaitAbove(era).let { null } },
                     async { interruption().let { null } },
@@ -49,6 +51,9 @@
             }
         }
 
+    private suspend fun change(revision: Long, era: Long): StoreReadResult =
+        peers?.await(kind, revision, era) ?: store.watch(kind, revision, WATCH_MILLIS) { receiving = true }
+
     /** Asks the store for changes whenever neither it nor another VM has confirmed the copy for a while. */
     private suspend fun check(revision: Long, era: Long): StoreReadResult {
         while (true) {
@@ -56,6 +61,7 @@
             if (receiving) awaitCancellation()
             val answer = store.watch(kind, revision, CHECK_MILLIS)
             if (receiving && answer is StoreReadResult.Unavailable) awaitCancellation()
+            if (answer is StoreReadResult.Changes && !answer.isEmpty()) peers?.missed()
             if (answer !is StoreReadResult.Changes || !answer.isEmpty() || answer.era != era) return answer
             freshness.confirm()
         }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PrefixHandler.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/PrefixHandler.kt
@@ -12,6 +12,9 @@
 internal abstract class PrefixHandler(private val prefix: String, private val next: RequestHandler) : RequestHandler {
     private val log = LoggerFactory.getLogger(javaClass)
 
+    /** Media type of the responses. */
+    protected open val contentType: String get() = "application/json"
+
     override suspend fun handle(request: CallerRequest, response: ResponseWriter) {
         if (!request.uri.startsWith(prefix)) return next.handle(request, response)
         val (status, body) =
@@ -22,7 +25,7 @@
                     .log("malformed message from another VM; answered with status 400")
                 BAD_REQUEST to EMPTY
             }
-        response.respond(status, DefaultHttpHeaders().add(HttpHeaderNames.CONTENT_TYPE, "application/json"), body)
+        response.respond(status, DefaultHttpHeaders().add(HttpHeaderNames.CONTENT_TYPE, contentType), body)
     }
 
     /** Returns the body of the response; null if no message has this path. Throws [IOException] if it is malformed. */
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
@@ -20,6 +20,7 @@
  * not serve this VM, from another VM that has a newer copy.
  *
  * @param checksFirst whether this VM is the one that checks the store for the others.
+ * @param peers watches another VM instead of the store where it can.
  * @param onChange called after each change of the copy.
  */
 internal class StoreMirror(
@@ -27,6 +28,7 @@
     private val store: PlatformStore,
     scope: CoroutineScope,
     checksFirst: () -> Boolean = { true },
+    peers: PeerWatch? = null,
     onChange: (StoreObjectCache) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger(javaClass)
@@ -37,7 +39,7 @@
     private val delivery = CopyDelivery(kind, state, scope, onChange)
     private val outage = StoreOutage(RECOVERY_MILLIS)
     private val freshness = CopyFreshness()
-    private val watch = CheckedWatch(kind, store, freshness, checksFirst)
+    private val watch = CheckedWatch(kind, store, freshness, checksFirst, peers)
     private val comparison = CopyComparison(freshness)
     private val backoff = CallBackoff()
     private val useless = UselessCalls(backoff)
@@ -74,10 +76,15 @@
     private suspend fun read() {
         val calledAt = monotonicMillis()
         val answer = nextAnswer() ?: return
-        val served = answer !is StoreReadResult.Unavailable && answer !is StoreReadResult.Outdated
+        val served =
+            when (answer) {
+                is StoreReadResult.Listing, is StoreReadResult.Changes, StoreReadResult.HistoryGone -> true
+                is StoreReadResult.PeerCopy, is StoreReadResult.Outdated, is StoreReadResult.Unavailable -> false
+            }
         if (served && outage.answered()) log.atInfo().addKeyValue("kind", kind).log("the store answers again")
         when (answer) {
             is StoreReadResult.Listing -> applyListing(answer)
+            is StoreReadResult.PeerCopy -> if (!adopt(answer.listing, answer.vm)) useless.pause()
             is StoreReadResult.Changes -> applyChanges(answer, monotonicMillis() - calledAt)
             StoreReadResult.HistoryGone -> {
                 listed = false
@@ -160,11 +167,15 @@
         return action == CopyAction.FETCH && !watch.receiving
     }
 
-    /** Replaces this copy by the [listing] of [vm] if that is newer, or confirmed later if both have one version. */
-    fun adopt(listing: StoreReadResult.Listing, vm: String) {
+    /**
+     * Replaces this copy by the [listing] of [vm] if that is newer, or confirmed later if both have one version.
+     * Returns whether it did.
+     */
+    fun adopt(listing: StoreReadResult.Listing, vm: String): Boolean {
         store.era.observe(listing.era, vm)
-        if (!comparison.adopts(version, CopyVersion(listing.revision, era = listing.era))) return
-        if (replace(listing)) delivery.changed("VM $vm")
+        val adopted = comparison.adopts(version, CopyVersion(listing.revision, era = listing.era)) && replace(listing)
+        if (adopted) delivery.changed("VM $vm")
+        return adopted
     }
 
     private companion object {
