Tell what callers received if the decode engine does not fill in a test

The message did not say what the callers had, and they stayed, so that three later methods failed too.

--- a/system-test/src/test/kotlin/fireflyhinge/systemtest/LeavingCaller.kt
+++ b/system-test/src/test/kotlin/fireflyhinge/systemtest/LeavingCaller.kt
@@ -10,6 +10,12 @@
     /** Whether a part of the answer has come, which is not before its first token unless the request failed. */
     val answered: Boolean get() = socket.getInputStream().available() > 0
 
+    /** Reads what has come, and returns its begin and end. */
+    fun received(): String =
+        socket.getInputStream().run { String(readNBytes(available())) }.let {
+            if (it.length <= 2 * SHOWN_CHARS) it else "${it.take(SHOWN_CHARS)} ... ${it.takeLast(SHOWN_CHARS)}"
+        }
+
     init {
         val fields = mapOf("model" to call.model, "messages" to call.messages, "max_tokens" to call.maxTokens)
         val body = Json.encode(fields + ("stream" to true)).toByteArray()
@@ -29,4 +35,8 @@
 
     /** Closes the connection. */
     fun leave() = socket.close()
+
+    private companion object {
+        const val SHOWN_CHARS = 300
+    }
 }
