--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -92,7 +92,7 @@
     settings: GatewaySettings,
     private val protocols: GatewayProtocols,
     heldLimits: HeldBytesLimits = HeldBytesLimits.of(Runtime.getRuntime().maxMemory()),
-) {
+) : AutoCloseable {
     private val log = LoggerFactory.getLogger(javaClass)
     private val io = IoLoop()
     private val registry = PrometheusRegistry()
@@ -311,6 +311,9 @@
         log.atInfo().addKeyValue("open", front.inFlight).addKeyValue("millis", monotonicMillis() - began).log("stopped")
     }
 
+    /** Ends at once, without responses to the requests that run. A process that exits need not call it. */
+    override fun close() = io.close()
+
     /**
      * Registers this VM and reads the list of other VMs; retries until the store has confirmed both. Then keeps this
      * VM's entry in the store.
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/IoLoop.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/IoLoop.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
 import org.slf4j.LoggerFactory
 import java.util.concurrent.TimeUnit
 
@@ -32,6 +33,7 @@
     val scope = CoroutineScope(SupervisorJob() + dispatcher + exceptionHandler)
 
     override fun close() {
+        scope.cancel()
         group.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)
     }
 
