Let a second VM of each region read the configuration if the first fails

Cause: one VM of each region reads the configuration from the store for the others. While it had ended or was frozen, each of them watched the store itself for 5 s, and thirty reads of 430 kB over 42 Mbit/s take 2.5 s; with changes that follow one another, all but the first were late.

Change: VMs wait for changes at the first two VMs of their region at once. The second one waits at the first and watches the store when that fails. A VM that finds a change in the store before the first one tells it goes on at the second one, which learns from the call that it is behind and checks the store. Costs a second waiting call in 2 s for each VM of a large fleet.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -109,8 +109,8 @@
     private val checker = CheckerSelector(fleet, domains)
     private val peerPool = ConnectionPool(io, defaultIdleLimitMillis = PEER_IDLE_MILLIS, held = held)
     private val peers = PeerClient(HttpClient(peerPool))
-    private val configFeed = CopyFeed()
     private val configWatch = PeerWatch(peers, checker::watched)
+    private val configFeed = CopyFeed(onBehind = configWatch::recordNewer)
     private val configMirror =
         StoreMirror(StoreObjectKind.CONFIGURATION, store, io.scope, checker::isSelf, configWatch) {
             configFeed.publish(it)
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CheckedWatch.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CheckedWatch.kt
@@ -6,15 +6,15 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
 
 /**
  * Watches the store's objects of [kind] and checks beside it whether the store still responds: a watch that waits does
  * not distinguish a store without news from a dead connection.
  *
  * @param checksFirst whether this VM is the one that checks for the others.
- * @param peers watches another VM instead of the store where it can.
+ * @param peers watches other VMs instead of the store where it can.
  */
 internal class CheckedWatch(
     private val kind: StoreObjectKind,
@@ -54,7 +54,10 @@
     private suspend fun change(revision: Long, era: Long): StoreReadResult =
         peers?.await(kind, revision, era) ?: store.watch(kind, revision, WATCH_MILLIS) { receiving = true }
 
-    /** Asks the store for changes whenever neither it nor another VM has confirmed the copy for a while. */
+    /**
+     * Asks the store for changes whenever neither it nor another VM has confirmed the copy for a while, or if another
+     * VM has a newer one.
+     */
     private suspend fun check(revision: Long, era: Long): StoreReadResult {
         while (true) {
             awaitDue()
@@ -70,11 +73,12 @@
     private suspend fun awaitDue() {
         while (true) {
             val wait = freshness.millisToCheck(checksFirst())
-            if (wait == 0L) return
-            delay(wait)
+            if (wait == 0L || withTimeoutOrNull(wait) { awaitNewerCopy() } != null) return
         }
     }
 
+    private suspend fun awaitNewerCopy() = peers?.awaitNewer() ?: awaitCancellation()
+
     private companion object {
         /** Long, since each watch is one priced call. */
         const val WATCH_MILLIS = 25_000L
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
@@ -20,7 +20,7 @@
  * not serve this VM, from another VM that has a newer copy.
  *
  * @param checksFirst whether this VM is the one that checks the store for the others.
- * @param peers watches another VM instead of the store where it can.
+ * @param peers watches other VMs instead of the store where it can.
  * @param onChange called after each change of the copy.
  */
 internal class StoreMirror(
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerWatchTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerWatchTest.kt
@@ -1,5 +1,6 @@
 package fireflyhinge.gateway.fleet
 
+import fireflyhinge.forward.CopyVersion
 import fireflyhinge.forward.StoreItem
 import fireflyhinge.forward.StoreObjectCache
 import fireflyhinge.forward.StoreObjectKind
@@ -14,6 +15,8 @@
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -25,8 +28,11 @@
 
 class PeerWatchTest {
     private val io = IoLoop()
-    private val address = ServerSocket(0).use { InetSocketAddress("127.0.0.1", it.localPort) }
-    private val other = VmRecord("vm-2", "127.0.0.1:1", "127.0.0.1:${address.port}", "north", startedAt = 1)
+    private val address = freeAddress()
+    private val secondAddress = freeAddress()
+    private val first = vm("vm-2", address)
+    private val second = vm("vm-3", secondAddress)
+    private var others = listOf(first)
     private val copies = ArrayBlockingQueue<Set<String>>(16)
     private val store = ListedStore()
 
@@ -59,7 +65,7 @@
     }
 
     private fun follow() {
-        val peers = PeerWatch(PeerClient(HttpClient(ConnectionPool(io)))) { other }
+        val peers = PeerWatch(PeerClient(HttpClient(ConnectionPool(io)))) { others }
         val mirror =
             StoreMirror(StoreObjectKind.CONFIGURATION, store, io.scope, { false }, peers) {
                 copies.add(it.items().keys)
@@ -68,10 +74,17 @@
         assertEquals(setOf("old"), copies.poll(AWAIT_SECONDS, TimeUnit.SECONDS))
     }
 
-    private fun serve(handler: RequestHandler) = HttpListener(io, address, handler = handler).start()
+    private fun serve(at: InetSocketAddress = address, handler: RequestHandler) =
+        HttpListener(io, at, handler = handler).start()
 
-    private fun serve(feed: CopyFeed) =
-        serve(CopyFeedHandler(mapOf(StoreObjectKind.CONFIGURATION to feed)) { _, _ -> error("another path") })
+    private fun serve(feed: CopyFeed, at: InetSocketAddress = address) =
+        serve(at, CopyFeedHandler(mapOf(StoreObjectKind.CONFIGURATION to feed)) { _, _ -> error("another path") })
+
+    private fun publish(feed: CopyFeed, name: String, revision: Long) {
+        val copy = StoreObjectCache()
+        copy.replace(listing(name, revision).items, revision, retentionMillis = 0)
+        feed.publish(copy)
+    }
 
     /** Guards against a configuration that each VM reads from the store although another VM has it. */
     @Test
@@ -79,10 +92,8 @@
         val feed = CopyFeed()
         serve(feed)
         follow()
-        val copy = StoreObjectCache()
         for (revision in 6L..8L) {
-            copy.replace(listing("new-$revision", revision).items, revision, retentionMillis = 0)
-            feed.publish(copy)
+            publish(feed, "new-$revision", revision)
             assertEquals(setOf("new-$revision"), copies.poll(AWAIT_SECONDS, TimeUnit.SECONDS))
         }
         assertEquals(0, store.watches)
@@ -92,9 +103,7 @@
     @Test
     fun anOlderCopyIsNotTakenOver() {
         val feed = CopyFeed()
-        val copy = StoreObjectCache()
-        copy.replace(listing("older", 4).items, revision = 4, retentionMillis = 0)
-        feed.publish(copy)
+        publish(feed, "older", 4)
         serve(feed)
         follow()
         assertEquals(null, copies.poll(CopyFeed.WAIT_MILLIS, TimeUnit.MILLISECONDS))
@@ -144,6 +153,49 @@
         assertEquals(setOf("newer"), copies.poll(1, TimeUnit.SECONDS))
     }
 
+    /** Guards against a configuration that all VMs of a region read from the store since the first one has ended. */
+    @Test
+    fun changesComeFromTheSecondVmIfTheFirstHasEnded() = assertChangesComeFromTheSecondVm()
+
+    /** Guards against a configuration that all VMs of a region read from the store since the first one is frozen. */
+    @Test
+    fun changesComeFromTheSecondVmIfTheFirstIsSilent() {
+        serve { _, _ -> awaitCancellation() }
+        assertChangesComeFromTheSecondVm()
+    }
+
+    /** Guards against a configuration that all VMs of a region read from the store since the first one lacks it. */
+    @Test
+    fun changesComeFromTheSecondVmIfTheFirstIsBehind() {
+        serve(CopyFeed())
+        assertChangesComeFromTheSecondVm()
+    }
+
+    private fun assertChangesComeFromTheSecondVm() {
+        others = listOf(first, second)
+        val feed = CopyFeed()
+        serve(feed, secondAddress)
+        follow()
+        for (revision in 6L..8L) {
+            publish(feed, "new-$revision", revision)
+            assertEquals(setOf("new-$revision"), copies.poll(1, TimeUnit.SECONDS))
+            Thread.sleep(CHANGE_INTERVAL_MILLIS)
+        }
+        assertEquals(0, store.watches)
+    }
+
+    /** Guards against the second VM as a source that is not noticed to be behind, as the first one is. */
+    @Test
+    fun anotherVmWithANewerCopyTellsThatThisOneIsBehind() {
+        var behind = 0
+        val feed = CopyFeed { behind++ }
+        publish(feed, "held", 5)
+        for ((revision, expected) in listOf(4L to 0, 5L to 0, 6L to 1, 6L to 1, 7L to 2)) {
+            runBlocking { withTimeoutOrNull(POLL_MILLIS) { feed.await(CopyVersion(revision)) } }
+            assertEquals(expected, behind, "$revision")
+        }
+    }
+
     private fun await(condition: () -> Boolean) {
         val end = System.nanoTime() + TimeUnit.SECONDS.toNanos(AWAIT_SECONDS)
         while (!condition()) {
@@ -155,10 +207,16 @@
     private companion object {
         const val AWAIT_SECONDS = 5L
         const val POLL_MILLIS = 10L
+        const val CHANGE_INTERVAL_MILLIS = 1_200L
 
         /** Time within which changes must take effect. */
         const val APPLY_MILLIS = 3_000L
 
+        fun freeAddress() = ServerSocket(0).use { InetSocketAddress("127.0.0.1", it.localPort) }
+
+        fun vm(name: String, control: InetSocketAddress) =
+            VmRecord(name, "127.0.0.1:1", "127.0.0.1:${control.port}", "north", startedAt = 1)
+
         fun listing(name: String, revision: Long) =
             StoreReadResult.Listing(listOf(StoreItem(name, revision, "{}")), revision)
 
