Count the age of a copy of the store from the call that confirms it

Cause: a response of the store confirmed a copy as of its arrival. A VM that wakes, or whose link delays packets, reads a response that was sent seconds before, and then believed for 0.6 s and more that it knew every version that may have begun a stream. It also told other VMs so.

Change: each response carries a stopwatch that began with its call; a copy is confirmed as of then. A watch that waited for long confirms nothing by itself; the check beside it does, as before.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CheckedWatch.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CheckedWatch.kt
@@ -3,6 +3,7 @@
 import fireflyhinge.forward.CopyFreshness
 import fireflyhinge.forward.StoreObjectKind
 import fireflyhinge.forward.StoreReadResult
+import fireflyhinge.time.Stopwatch
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.coroutineScope
@@ -23,6 +24,9 @@
     private val checksFirst: () -> Boolean,
     private val peers: PeerWatch? = null,
 ) {
+    /** A response of the store and the [call] that it answers; the copy of the store's objects is as of that call. */
+    class Response(val answer: StoreReadResult, val call: Stopwatch)
+
     /** Whether a response to the watch is arriving. */
     @Volatile
     var receiving = false
@@ -34,7 +38,7 @@
      * arrives, it is awaited, since the response to a check would have the same content. Returns null if a higher era
      * becomes known or [interruption] returns.
      */
-    suspend fun await(revision: Long, era: Long, interruption: suspend () -> Unit): StoreReadResult? =
+    suspend fun await(revision: Long, era: Long, interruption: suspend () -> Unit): Response? =
         coroutineScope {
             val reads =
                 listOf(
@@ -51,22 +55,27 @@
             }
         }
 
-    private suspend fun change(revision: Long, era: Long): StoreReadResult =
-        peers?.await(kind, revision, era) ?: store.watch(kind, revision, WATCH_MILLIS) { receiving = true }
+    private suspend fun change(revision: Long, era: Long): Response {
+        val copy = peers?.await(kind, revision, era)
+        val call = Stopwatch()
+        return Response(copy ?: store.watch(kind, revision, WATCH_MILLIS) { receiving = true }, call)
+    }
 
     /**
      * Asks the store for changes whenever neither it nor another VM has confirmed the copy for a while, or if another
      * VM has a newer one.
      */
-    private suspend fun check(revision: Long, era: Long): StoreReadResult {
+    private suspend fun check(revision: Long, era: Long): Response {
         while (true) {
             awaitDue()
             if (receiving) awaitCancellation()
+            val call = Stopwatch()
             val answer = store.watch(kind, revision, CHECK_MILLIS)
             if (receiving && answer is StoreReadResult.Unavailable) awaitCancellation()
             if (answer is StoreReadResult.Changes && !answer.isEmpty()) peers?.missed()
-            if (answer !is StoreReadResult.Changes || !answer.isEmpty() || answer.era != era) return answer
-            freshness.confirm()
+            val unchanged = answer is StoreReadResult.Changes && answer.isEmpty() && answer.era == era
+            if (!unchanged) return Response(answer, call)
+            freshness.confirm(call.elapsedMillis)
         }
     }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CopyExchange.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CopyExchange.kt
@@ -3,9 +3,9 @@
 import fireflyhinge.forward.CopyVersion
 import fireflyhinge.forward.StoreObjectKind
 import fireflyhinge.forward.VmRecord
-import fireflyhinge.gateway.http.monotonicMillis
 import fireflyhinge.gateway.repeatForever
 import fireflyhinge.gateway.runLogged
+import fireflyhinge.time.Stopwatch
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -41,18 +41,18 @@
 
     private suspend fun ask(address: String) {
         try {
-            val calledAt = monotonicMillis()
-            compare(PeerMessages.exchange(peers.get(address, PATH)).copies, address, calledAt)
+            val call = Stopwatch()
+            compare(PeerMessages.exchange(peers.get(address, PATH)).copies, address, call)
         } catch (e: IOException) {
             log.debug("asking {} for its copies failed: {}", address, e.message)
         }
     }
 
-    /** Compares with [theirs], the versions that the VM at [address] returned to a call made at [calledAtMillis]. */
-    suspend fun compare(theirs: Map<StoreObjectKind, CopyVersion>, address: String, calledAtMillis: Long) {
+    /** Compares with [theirs], the versions that the VM at [address] returned to [call]. */
+    suspend fun compare(theirs: Map<StoreObjectKind, CopyVersion>, address: String, call: Stopwatch) {
         for (mirror in mirrors) {
             val version = theirs[mirror.kind] ?: continue
-            if (mirror.compare(version, monotonicMillis() - calledAtMillis)) fetch(mirror, address)
+            if (mirror.compare(version, call.elapsedMillis)) fetch(mirror, address)
         }
     }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/Gossip.kt
@@ -4,9 +4,9 @@
 import fireflyhinge.forward.FailureDomains
 import fireflyhinge.forward.PrefillRates
 import fireflyhinge.gateway.http.ConnectFailedException
-import fireflyhinge.gateway.http.monotonicMillis
 import fireflyhinge.gateway.repeatForever
 import fireflyhinge.gateway.runLogged
+import fireflyhinge.time.Stopwatch
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -85,11 +85,11 @@
 
     private suspend fun exchange(address: String) {
         try {
-            val calledAt = monotonicMillis()
+            val call = Stopwatch()
             val answer = PeerMessages.exchange(peers.post(address, EXCHANGE_PATH, PeerMessages.encode(localState())))
             answered++
             merge(answer)
-            copies.compare(answer.copies, address, calledAt)
+            copies.compare(answer.copies, address, call)
         } catch (e: ConnectFailedException) {
             if (e.refused) fleet.all().find { it.control == address }?.let { fleet.connectionRefused(it.name) }
             log.debug("gossip exchange with {} failed: {}", address, e.message)
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
@@ -7,8 +7,8 @@
 import fireflyhinge.forward.StoreObjectKind
 import fireflyhinge.forward.StoreOutage
 import fireflyhinge.forward.StoreReadResult
-import fireflyhinge.gateway.http.monotonicMillis
 import fireflyhinge.gateway.repeatForever
+import fireflyhinge.time.Stopwatch
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
@@ -61,21 +61,24 @@
     suspend fun run(): Nothing = repeatForever(log, "following $kind") { read() }
 
     /** The next response of the store; null if the objects should be listed for another reason. */
-    private suspend fun nextAnswer(): StoreReadResult? {
+    private suspend fun nextResponse(): CheckedWatch.Response? {
         if (listed && state.era < store.era.value) awaitListing("the store has another era")
         if (listed && conflicts.tryReceive().isSuccess) awaitListing("another VM has other objects under one revision")
+        val call = Stopwatch()
         return when {
-            !listed -> store.list(kind)
+            !listed -> CheckedWatch.Response(store.list(kind), call)
             // A watch that blocks does not show whether the store serves this VM again.
-            outage.failures > 0 -> store.watch(kind, state.revision, RECOVERY_WATCH_MILLIS)
+            outage.failures > 0 ->
+                CheckedWatch.Response(store.watch(kind, state.revision, RECOVERY_WATCH_MILLIS), call)
             // A request of a new listing stays pending.
             else -> watch.await(state.revision, state.era) { conflicts.send(conflicts.receive()) }
         }
     }
 
     private suspend fun read() {
-        val calledAt = monotonicMillis()
-        val answer = nextAnswer() ?: return
+        val waited = Stopwatch()
+        val response = nextResponse() ?: return
+        val answer = response.answer
         val served =
             when (answer) {
                 is StoreReadResult.Listing, is StoreReadResult.Changes, StoreReadResult.HistoryGone -> true
@@ -83,9 +86,9 @@
             }
         if (served && outage.answered()) log.atInfo().addKeyValue("kind", kind).log("the store answers again")
         when (answer) {
-            is StoreReadResult.Listing -> applyListing(answer)
+            is StoreReadResult.Listing -> applyListing(answer, response.call)
             is StoreReadResult.PeerCopy -> if (!adopt(answer.listing, answer.vm)) useless.pause()
-            is StoreReadResult.Changes -> applyChanges(answer, monotonicMillis() - calledAt)
+            is StoreReadResult.Changes -> applyChanges(answer, response.call, waited.elapsedMillis)
             StoreReadResult.HistoryGone -> {
                 listed = false
                 log.atInfo().addKeyValue("kind", kind).log("no usable history in the store; listing all objects")
@@ -108,11 +111,11 @@
         delay(Random.nextLong(LISTING_SPREAD_MILLIS))
     }
 
-    private suspend fun applyListing(answer: StoreReadResult.Listing) {
+    private suspend fun applyListing(answer: StoreReadResult.Listing, call: Stopwatch) {
         if (answer.era < store.era.value) return useless.pause()
         listed = true
         if (replace(answer)) {
-            freshness.confirm()
+            freshness.confirm(call.elapsedMillis)
             delivery.changed("store list")
         } else {
             log.atInfo().addKeyValue("kind", kind).addKeyValue("revision", answer.revision)
@@ -130,12 +133,12 @@
             if (listing.era > state.era) store.era.precedenceMillis(kind) else 0,
         )
 
-    private suspend fun applyChanges(answer: StoreReadResult.Changes, elapsedMillis: Long) {
+    private suspend fun applyChanges(answer: StoreReadResult.Changes, call: Stopwatch, waitedMillis: Long) {
         if (answer.era != state.era) return useless.pause()
-        freshness.confirm()
+        freshness.confirm(call.elapsedMillis)
         if (answer.isEmpty()) {
             // A watch that returns at once without a change would otherwise be repeated at once.
-            if (elapsedMillis < MIN_WATCH_MILLIS) useless.pause() else useless.reset()
+            if (waitedMillis < MIN_WATCH_MILLIS) useless.pause() else useless.reset()
             return
         }
         useless.reset()
