Count the time of a suspension in the age of a copy

Cause: the age of a copy of the store was measured by the monotonic clock alone, which stands still while the machine is suspended. The VM woke with a list that it took to be as recent as before, and could continue streams at the only version in it.

Change: Stopwatch measures by that clock and by the time of day, and the one that shows more time counts. A time of day that is set ahead costs one check of the store; one that is set back has no effect.

Result: CopyFreshnessTest#aSuspensionMakesACopyOlder is new with the parameter for the time of day, so it can't run on the former code, whose age ignores it.

--- a/core/src/main/kotlin/fireflyhinge/forward/CopyFreshness.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/CopyFreshness.kt
@@ -1,30 +1,35 @@
 package fireflyhinge.forward
 
 import fireflyhinge.time.MonotonicClock
-import fireflyhinge.time.millis
+import fireflyhinge.time.Stopwatch
 import kotlin.random.Random
 
 /**
  * Tracks when a copy of the store's objects was last known to lack no change, and tells when to ask the store again: a
  * watch that waits does not distinguish a store without news from one that no longer responds. Thread-safe.
+ *
+ * @param dayMillis the time of day, which goes on while the machine is suspended.
  */
 class CopyFreshness(
     private val clock: MonotonicClock = MonotonicClock.SYSTEM,
     private val random: Random = Random.Default,
+    private val dayMillis: () -> Long = System::currentTimeMillis,
 ) {
-    private var confirmedAt: Long? = null
+    /** Time since the last confirmation, and the age of the copy at that time. */
+    private var sinceConfirmed: Stopwatch? = null
+    private var confirmedAgeMillis = 0L
     private var limitMillis = 0L
 
     /** Time since the copy was known to lack no change; null if it never was. */
     val ageMillis: Long?
-        @Synchronized get() = confirmedAt?.let { clock.millis() - it }
+        @Synchronized get() = sinceConfirmed?.let { confirmedAgeMillis + it.elapsedMillis }
 
     /** Records that the copy lacked no change [ageMillis] ago. */
     @Synchronized
     fun confirm(ageMillis: Long = 0) {
-        val at = clock.millis() - ageMillis
-        if (confirmedAt.let { it != null && it >= at }) return
-        confirmedAt = at
+        if (this.ageMillis.let { it != null && it <= ageMillis }) return
+        sinceConfirmed = Stopwatch(clock, dayMillis)
+        confirmedAgeMillis = ageMillis
         limitMillis = random.nextLong(MIN_OTHERS_AGE_MILLIS, MAX_AGE_MILLIS)
     }
 
@@ -34,8 +39,8 @@
      */
     @Synchronized
     fun millisToCheck(first: Boolean): Long {
-        val at = confirmedAt ?: return 0
-        return maxOf(0, at + (if (first) FIRST_AGE_MILLIS else limitMillis) - clock.millis())
+        val age = ageMillis ?: return 0
+        return maxOf(0, (if (first) FIRST_AGE_MILLIS else limitMillis) - age)
     }
 
     companion object {
--- a/core/src/test/kotlin/fireflyhinge/forward/CopyFreshnessTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/CopyFreshnessTest.kt
@@ -7,7 +7,8 @@
 
 class CopyFreshnessTest {
     private val clock = ManualClock()
-    private val freshness = CopyFreshness(clock)
+    private var dayMillis = 1_000_000L
+    private val freshness = CopyFreshness(clock, dayMillis = { dayMillis })
 
     /** Guards against a silent store that is asked again too late for a change to take effect in time. */
     @Test
@@ -38,6 +39,18 @@
         assertEquals(500, freshness.ageMillis)
     }
 
+    /** Guards against a copy that passes for recent because the monotonic clock stood still during a suspension. */
+    @Test
+    fun aSuspensionMakesACopyOlder() {
+        for ((monotonic, day, age) in listOf(listOf(500L, 5_000L, 5_000L), listOf(500L, -2_000L, 500L))) {
+            freshness.confirm()
+            clock.advance(monotonic)
+            dayMillis += day
+            assertEquals(age, freshness.ageMillis)
+            assertEquals(age > APPLY_MILLIS, freshness.millisToCheck(first = false) == 0L)
+        }
+    }
+
     private companion object {
         /** Time within which changes must take effect (the platform's `configApplyMs`). */
         const val APPLY_MILLIS = 3_000L
