Don't trust a history of versions that a restore of the store may have cut

Cause: a VM that starts takes the stored history of versions for complete. After a restore it lacks what was written since the copy, and so may the list.

--- a/core/src/main/kotlin/fireflyhinge/forward/ServiceVersions.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ServiceVersions.kt
@@ -10,12 +10,12 @@
  * A VM begins streams at a version only from [SETTLE_MILLIS] after it was listed, if there is another one. So a VM
  * whose list was confirmed within that time knows all versions that may have begun a stream.
  *
- * @param complete whether this VM knows all recent versions from the start, as in the first start of the system.
+ * @param firstStart whether this VM knows all recent versions from the start, as in the first start of the system.
  * @param listAgeMillis time since the list of replicas was known to lack no change; null if it never was.
  */
 class ServiceVersions(
     private val clock: MonotonicClock = MonotonicClock.SYSTEM,
-    private var complete: Boolean = false,
+    private val firstStart: Boolean = false,
     private val listAgeMillis: () -> Long?,
 ) {
     private class Presence(val since: Long, var until: Long?) {
@@ -26,6 +26,9 @@
     private val services = HashMap<String, HashMap<String, Presence>>()
     private var listedSince: Long? = null
 
+    /** Services of which a complete record was taken up. */
+    private val recordedServices = HashSet<String>()
+
     /** Takes up the list of [replicas]. Returns whether versions have come or gone. */
     @Synchronized
     fun listed(replicas: Collection<Replica>): Boolean {
@@ -56,10 +59,10 @@
 
     /**
      * Takes up what was recorded before this VM started: for each service, how long ago each version went; null for one
-     * that has not, which went just now if it is not listed.
+     * that has not, which went just now if it is not listed. The records of the [complete] services lack no version.
      */
     @Synchronized
-    fun recorded(history: Map<String, Map<String, Long?>>) {
+    fun recorded(history: Map<String, Map<String, Long?>>, complete: Set<String> = history.keys) {
         val now = clock.millis()
         for ((service, versions) in history) {
             val known = services.getOrPut(service) { HashMap() }
@@ -67,7 +70,14 @@
                 known.getOrPut(version) { Presence(since = 0, until = now - (goneMillis ?: 0)) }
             }
         }
-        complete = true
+        recordedServices += complete
+    }
+
+    /** Whether this VM knows all recent versions of [service] in a list that lacks no change. */
+    @Synchronized
+    fun knowsAll(service: String): Boolean {
+        val watchedMillis = listedSince?.let { clock.millis() - it } ?: 0
+        return firstStart || service in recordedServices || watchedMillis >= MEMORY_MILLIS
     }
 
     /** For each service, how long ago each recent version went; null for one that is listed. */
@@ -81,9 +91,8 @@
     @Synchronized
     fun only(service: String): String? {
         val now = clock.millis()
-        val since = listedSince ?: return null
-        val confirmed = listAgeMillis().let { it != null && it < SETTLE_MILLIS }
-        if (!confirmed || !complete && now - since < MEMORY_MILLIS) return null
+        val confirmed = listedSince != null && listAgeMillis().let { it != null && it < SETTLE_MILLIS }
+        if (!confirmed || !knowsAll(service)) return null
         return services[service].orEmpty()
             .filterValues { presence -> presence.until.let { it == null || now - it < MEMORY_MILLIS } }
             .keys.singleOrNull()
--- a/core/src/test/kotlin/fireflyhinge/forward/ServiceVersionsTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/ServiceVersionsTest.kt
@@ -74,6 +74,9 @@
             assertEquals(expected, recordFirst.only("engine"), "$record, before the list")
             assertEquals(expected, listFirst.only("engine"), "$record, after the list")
         }
+        val incomplete = versions(firstStart = false).also { it.list("v2") }
+        incomplete.recorded(mapOf("engine" to mapOf("v2" to null)), complete = setOf("another service"))
+        assertEquals(null, incomplete.only("engine"))
         val watching = versions(firstStart = false).also { it.list("v2") }
         clock.advance(ServiceVersions.MEMORY_MILLIS)
         assertEquals("v2", watching.only("engine"))
