Schedule checks of the store from responses, and judge versions from calls

Cause: since the age of a copy counted from the call of each response in all uses. A response that waited, or whose transfer took long, left an older copy, so that VMs checked the store sooner, and each check beside a large change reads it again over the shared link.

Change: CopyFreshness keeps both ages. Checks, and what VMs tell each other, go by the response, as before; whether a list of replicas may tell the only software version goes by the call.

--- a/core/src/main/kotlin/fireflyhinge/forward/CopyFreshness.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/CopyFreshness.kt
@@ -15,22 +15,40 @@
     private val random: Random = Random.Default,
     private val dayMillis: () -> Long = System::currentTimeMillis,
 ) {
-    /** Time since the last confirmation, and the age of the copy at that time. */
-    private var sinceConfirmed: Stopwatch? = null
-    private var confirmedAgeMillis = 0L
+    /** Time since the latest moment of which something was learned. */
+    private inner class Age {
+        private var since: Stopwatch? = null
+        private var atStartMillis = 0L
+
+        val millis: Long? get() = since?.let { atStartMillis + it.elapsedMillis }
+
+        /** Records a moment [ageMillis] ago. Returns whether it is later than the former one. */
+        fun confirm(ageMillis: Long): Boolean {
+            if (millis.let { it != null && it <= ageMillis }) return false
+            since = Stopwatch(clock, dayMillis)
+            atStartMillis = ageMillis
+            return true
+        }
+    }
+
+    private val responded = Age()
+    private val certain = Age()
     private var limitMillis = 0L
 
-    /** Time since the copy was known to lack no change; null if it never was. */
-    val ageMillis: Long?
-        @Synchronized get() = sinceConfirmed?.let { confirmedAgeMillis + it.elapsedMillis }
+    /** Time since a response showed that the copy lacks no change; null if none did. */
+    val ageMillis: Long? @Synchronized get() = responded.millis
+
+    /**
+     * Time since the copy certainly lacked no change; null if it never did. A response shows the state after its call
+     * was made, but may have been on its way for long, or have waited in a VM that was frozen.
+     */
+    val certainAgeMillis: Long? @Synchronized get() = certain.millis
 
-    /** Records that the copy lacked no change [ageMillis] ago. */
+    /** Records that a response [ageMillis] ago, to a call [callMillis] ago, showed that the copy lacks no change. */
     @Synchronized
-    fun confirm(ageMillis: Long = 0) {
-        if (this.ageMillis.let { it != null && it <= ageMillis }) return
-        sinceConfirmed = Stopwatch(clock, dayMillis)
-        confirmedAgeMillis = ageMillis
-        limitMillis = random.nextLong(MIN_OTHERS_AGE_MILLIS, MAX_AGE_MILLIS)
+    fun confirm(ageMillis: Long = 0, callMillis: Long = ageMillis) {
+        certain.confirm(callMillis)
+        if (responded.confirm(ageMillis)) limitMillis = random.nextLong(MIN_OTHERS_AGE_MILLIS, MAX_AGE_MILLIS)
     }
 
     /**
@@ -39,7 +57,7 @@
      */
     @Synchronized
     fun millisToCheck(first: Boolean): Long {
-        val age = ageMillis ?: return 0
+        val age = responded.millis ?: return 0
         return maxOf(0, (if (first) FIRST_AGE_MILLIS else limitMillis) - age)
     }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -100,7 +100,7 @@
     private val domains = FailureDomains(settings.failureDomain, settings.regions)
     private val fleet = FleetView(record(settings))
     private val prefillRates = PrefillRates(enabled = { fleet.exchangeIntervalFactor > 1 })
-    private val versions = ServiceVersions(firstStart = settings.firstStart) { replicaMirror.version.ageMillis }
+    private val versions = ServiceVersions(firstStart = settings.firstStart) { replicaMirror.certainAgeMillis }
     private val table = ReplicaTable(prefillRates = prefillRates, versions = versions)
     private val era = KnownEra(StoreEras(settings.contactMillis))
     private val store =
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CheckedWatch.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CheckedWatch.kt
@@ -24,7 +24,7 @@
     private val checksFirst: () -> Boolean,
     private val peers: PeerWatch? = null,
 ) {
-    /** A response of the store and the [call] that it answers; the copy of the store's objects is as of that call. */
+    /** A response, and the [call] that it answers. */
     class Response(val answer: StoreReadResult, val call: Stopwatch)
 
     /** Whether a response to the watch is arriving. */
@@ -75,7 +75,7 @@
             if (answer is StoreReadResult.Changes && !answer.isEmpty()) peers?.missed()
             val unchanged = answer is StoreReadResult.Changes && answer.isEmpty() && answer.era == era
             if (!unchanged) return Response(answer, call)
-            freshness.confirm(call.elapsedMillis)
+            freshness.confirm(callMillis = call.elapsedMillis)
         }
     }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
@@ -54,6 +54,9 @@
     /** Revision of the copy. */
     val revision: Long get() = state.revision
 
+    /** Time since the copy certainly lacked no change; null if it never did. */
+    val certainAgeMillis: Long? get() = freshness.certainAgeMillis
+
     /** State of the copy, for other VMs. */
     val version: CopyVersion get() = CopyVersion(state.revision, state.digest, freshness.ageMillis, state.era)
 
@@ -115,7 +118,7 @@
         if (answer.era < store.era.value) return useless.pause()
         listed = true
         if (replace(answer)) {
-            freshness.confirm(call.elapsedMillis)
+            freshness.confirm(callMillis = call.elapsedMillis)
             delivery.changed("store list")
         } else {
             log.atInfo().addKeyValue("kind", kind).addKeyValue("revision", answer.revision)
@@ -135,7 +138,7 @@
 
     private suspend fun applyChanges(answer: StoreReadResult.Changes, call: Stopwatch, waitedMillis: Long) {
         if (answer.era != state.era) return useless.pause()
-        freshness.confirm(call.elapsedMillis)
+        freshness.confirm(callMillis = call.elapsedMillis)
         if (answer.isEmpty()) {
             // A watch that returns at once without a change would otherwise be repeated at once.
             if (waitedMillis < MIN_WATCH_MILLIS) useless.pause() else useless.reset()
