--- a/review/lab/Replica.java
+++ b/review/lab/Replica.java
@@ -19,7 +19,7 @@
     final String service;
     final String stage;
     final String version;
-    private final String zone;
+    final String zone;
     private final Store store;
     private final Ledger ledger;
     private final long born = System.currentTimeMillis();
@@ -27,6 +27,16 @@
     /** Milliseconds of work of a plain request, and between the events of a stream. */
     volatile long workMillis = 40;
 
+    /** Prompt tokens that a prefill replica reads in a millisecond, one prompt after the other. */
+    private static final double READ_PER_MILLI = 55.5556;
+    private final Object reading = new Object();
+
+    /** Until when the replica is silent, in milliseconds of the ledger. */
+    volatile long silentUntil;
+
+    /** When its entry was removed or said `draining`, in milliseconds of the ledger; 0 while it stays. */
+    volatile long leftAt;
+
     Replica(Store store, Ledger ledger, String address, String service, String stage, String version, String zone)
         throws IOException {
         super(address);
@@ -56,13 +66,28 @@
         ledger.add("replica " + id + " " + service + " " + stage + " " + version + " writes " + state);
     }
 
+    /** Says that it leaves, or says nothing of it and only removes its entry; it goes on to serve. */
+    void leave(boolean tells) {
+        if (tells) {
+            write("draining");
+        } else {
+            store.remove("servers", id);
+            ledger.add("replica " + id + " removes its entry");
+        }
+        leftAt = ledger.millis();
+    }
+
     @Override
     boolean answer(Http.Wire wire, Http.Message request) throws IOException {
+        pause(Math.max(0, silentUntil - ledger.millis()));
         String expected = request.field("X-Expect-Replica");
         if (expected != null && !expected.equals(id)) {
             reply(wire, request, 421, Map.of("X-Replica-Id", id), "");
             return true;
         }
+        if (request.field("X-Request-Id") != null && leftAt > 0) {
+            ledger.arrivedAfterLeaving(this, request.field("X-Request-Id"), ledger.millis() - leftAt);
+        }
         String path = request.target();
         if (path.startsWith("/-/hold-take")) {
             reply(wire, request, 200, Map.of(), "{\"reserve\":\"h" + IDS.incrementAndGet() + "\",\"born\":" + born + "}");
@@ -79,7 +104,9 @@
     }
 
     private void prefill(Http.Wire wire, Http.Message request) throws IOException {
-        pause(30);
+        synchronized (reading) {
+            pause((long) (tokens(request, 0) / READ_PER_MILLI));
+        }
         String handle = "kv" + IDS.incrementAndGet();
         HANDLES.put(handle, System.currentTimeMillis());
         reply(wire, request, 200, Map.of(),
