--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review-2
 mkdir -p target/review-2
-javac -nowarn -cp 'target/app/*' -d target/review-2 review/lab/*.java
+javac -nowarn -encoding UTF-8 -cp 'target/app/*' -d target/review-2 review/lab/*.java
--- a/review/lab/Client.java
+++ b/review/lab/Client.java
@@ -46,13 +46,23 @@
      */
     static Answer send(Ledger ledger, String address, String method, String path, String tokens, int last,
         String resumes, long deadlineMillis, int gapMillis) {
+        return send(ledger, address, method, path, tokens, last, resumes, deadlineMillis, gapMillis, Lab.KEY);
+    }
+
+    /** Sends an order with [key]. */
+    static Answer order(Ledger ledger, String address, String path, String key) {
+        return send(ledger, address, "POST", path, null, 0, null, 1_500, 1_500, key);
+    }
+
+    private static Answer send(Ledger ledger, String address, String method, String path, String tokens, int last,
+        String resumes, long deadlineMillis, int gapMillis, String key) {
         Answer answer = new Answer();
         answer.id = newId();
         Map<String, String> fields = new TreeMap<>();
         fields.put("Host", Lab.HOST);
         fields.put("X-Request-Id", answer.id);
         fields.put("X-Deadline-Ms", Long.toString(deadlineMillis));
-        fields.put("Authorization", "Bearer " + Lab.KEY);
+        fields.put("Authorization", "Bearer " + key);
         if (tokens != null) {
             fields.put("X-Model", "m");
             fields.put("X-Token-Count", tokens);
--- a/review/lab/Ledger.java
+++ b/review/lab/Ledger.java
@@ -74,7 +74,7 @@
 
     synchronized void write() {
         try {
-            Files.write(file, lines);
+            Files.write(file, lines, java.nio.charset.StandardCharsets.UTF_8);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/review/lab/Vanish.java
+++ b/review/lab/Vanish.java
@@ -20,6 +20,10 @@
 
     /** The sheet has 12.8 streams a second, and a burst doubles them. */
     private static final int PER_SECOND = 25;
+
+    /** Long prompts; the sheet has 5,000 tokens on average, the site file 11,000 at most. */
+    private static final int LEAST_TOKENS = 6_000;
+    private static final int MOST_TOKENS = 11_000;
     private static final List<String> ZONES = List.of("perth-north", "sydney-west", "perth-south");
 
     private Vanish() {}
@@ -50,7 +54,7 @@
                 }
                 int number = sent++;
                 Http.daemon("client", () -> {
-                    int tokens = ThreadLocalRandom.current().nextInt(2_000, 11_000);
+                    int tokens = ThreadLocalRandom.current().nextInt(LEAST_TOKENS, MOST_TOKENS);
                     Client.send(lab.ledger, lab.machines.get(number % MACHINES).front, "POST", "/blurb/c" + number,
                         tokens + ",70", 0, null, 14_000, 3_600);
                     ended.countDown();
