--- a/review/lab/Ledger.java
+++ b/review/lab/Ledger.java
@@ -31,7 +31,6 @@
     private final List<String> lines = new ArrayList<>();
     private final List<Run> runs = new ArrayList<>();
     private final Path file;
-    private long latest;
 
     Ledger(Path file) {
         this.file = file;
@@ -51,17 +50,6 @@
             + (run.tenant == null ? "" : " for " + run.tenant) + ", " + run.tokens + " tokens");
     }
 
-    /** A request reached a replica [millis] after the store had confirmed that it leaves. */
-    synchronized void arrivedAfterLeaving(Replica replica, String request, long millis) {
-        add("request " + request + " reaches " + replica.id + " " + millis + " ms after it left");
-        latest = Math.max(latest, millis);
-    }
-
-    /** The longest time from the confirmation that a replica leaves to a request that reached it. */
-    synchronized long latestAfterLeaving() {
-        return latest;
-    }
-
     synchronized List<Run> runs() {
         return new ArrayList<>(runs);
     }
--- a/review/lab/Replica.java
+++ b/review/lab/Replica.java
@@ -19,7 +19,7 @@
     final String service;
     final String stage;
     final String version;
-    final String zone;
+    private final String zone;
     private final Store store;
     private final Ledger ledger;
     private final long born = System.currentTimeMillis();
@@ -31,12 +31,6 @@
     private static final double READ_PER_MILLI = 55.5556;
     private final Object reading = new Object();
 
-    /** Until when the replica is silent, in milliseconds of the ledger. */
-    volatile long silentUntil;
-
-    /** When its entry was removed or said `draining`, in milliseconds of the ledger; 0 while it stays. */
-    volatile long leftAt;
-
     Replica(Store store, Ledger ledger, String address, String service, String stage, String version, String zone)
         throws IOException {
         super(address);
@@ -66,28 +60,13 @@
         ledger.add("replica " + id + " " + service + " " + stage + " " + version + " writes " + state);
     }
 
-    /** Says that it leaves, or says nothing of it and only removes its entry; it goes on to serve. */
-    void leave(boolean tells) {
-        if (tells) {
-            write("draining");
-        } else {
-            store.remove("servers", id);
-            ledger.add("replica " + id + " removes its entry");
-        }
-        leftAt = ledger.millis();
-    }
-
     @Override
     boolean answer(Http.Wire wire, Http.Message request) throws IOException {
-        pause(Math.max(0, silentUntil - ledger.millis()));
         String expected = request.field("X-Expect-Replica");
         if (expected != null && !expected.equals(id)) {
             reply(wire, request, 421, Map.of("X-Replica-Id", id), "");
             return true;
         }
-        if (request.field("X-Request-Id") != null && leftAt > 0) {
-            ledger.arrivedAfterLeaving(this, request.field("X-Request-Id"), ledger.millis() - leftAt);
-        }
         String path = request.target();
         if (path.startsWith("/-/hold-take")) {
             reply(wire, request, 200, Map.of(), "{\"reserve\":\"h" + IDS.incrementAndGet() + "\",\"born\":" + born + "}");
