--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StreamOriginExchange.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StreamOriginExchange.kt
@@ -26,8 +26,13 @@
     private val recorders: StreamRecorders,
     private val stored: StreamOriginStore,
 ) {
-    /** Where a stream began, or null. If not [complete], a VM that may know was not heard. */
-    class Finding(val origin: StreamOrigin?, val complete: Boolean)
+    /**
+     * Where a stream began, or null. If not [complete], a VM that may know was not heard.
+     *
+     * @property asked number of other VMs that were asked.
+     * @property heard number of them that replied.
+     */
+    class Finding(val origin: StreamOrigin?, val complete: Boolean, val asked: Int = 0, val heard: Int = 0)
 
     private val log = LoggerFactory.getLogger(javaClass)
 
@@ -54,7 +59,12 @@
             while (findings.size < asked.size && findings.none { it.origin != null }) findings += answers.receive()
             coroutineContext.cancelChildren()
             val origin = findings.firstNotNullOfOrNull { it.origin }?.also { origins.told(mapOf(id to it)) }
-            Finding(origin, complete = loaded && asked.isNotEmpty() && findings.all { it.complete })
+            Finding(
+                origin,
+                complete = loaded && asked.isNotEmpty() && findings.all { it.complete },
+                asked = asked.size,
+                heard = findings.count { it.complete },
+            )
         }
     }
 
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamVersionGuard.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamVersionGuard.kt
@@ -29,7 +29,7 @@
         val finding = find(context)
         val origin = finding.origin
         if (origin == null || route.targets.none { it.service == origin.service }) {
-            context.attemptLog += "origin of the stream unknown"
+            context.attemptLog += "origin of the stream unknown, ${finding.heard} of ${finding.asked} VMs heard"
             val retryAfter = RETRY_AFTER_MILLIS.takeIf { !finding.complete }
             return Outcome.Failure(ResultCode.STREAM_ORIGIN_UNKNOWN, retryAfterMillis = retryAfter)
         }
