Copy where streams began to other VMs while one version serves

Cause: with one version, a VM told nobody where its streams began, since any VM could conclude it from its list. A VM that is lost before it sees a second version can tell no more, and the others can conclude nothing once they see it.

Change: each VM copies its new streams every 0.5 s to three recorders, chosen by its own name so that messages do not grow with streams. A take-up also asks the recorders of VMs that restarted or fell silent within a minute. Recorders that are told are others than the VM that tells; it could be one of its own three before.

Why it works: who may have to answer later knows before the second version can be listed, so no conclusion is needed.

--- a/core/src/main/kotlin/fireflyhinge/forward/FleetView.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/FleetView.kt
@@ -8,6 +8,12 @@
     private class Known(var record: VmRecord, var heardAt: Long, var refusedHeartbeat: Long? = null) {
         /** Latest time at which something was learned of the VM: a newer heartbeat, or that it refused a connection. */
         var learnedAt = heardAt
+
+        /** When the VM was first heard of after a restart; null if it was heard of in one process only. */
+        var restartedAt: Long? = null
+
+        fun isLive(now: Long, timeoutMillis: Double): Boolean =
+            now - heardAt < timeoutMillis && refusedHeartbeat != record.heartbeat
     }
 
     /** Order of the [members] for one quota. */
@@ -43,6 +49,8 @@
             if (held == null) {
                 known[record.name] = Known(record, now)
             } else if (record.newerThan(held.record)) {
+                // A record from the store does not tell the start.
+                if (held.record.startedAt in 1 until record.startedAt) held.restartedAt = now
                 held.record = record
                 held.heardAt = now
                 held.learnedAt = now
@@ -83,6 +91,19 @@
     val exchangeIntervalFactor: Double
         @Synchronized get() = (known.size.toDouble() / SMALL_FLEET_VMS).coerceIn(1.0, MAX_INTERVAL_FACTOR)
 
+    private val heartbeatTimeoutMillis: Double get() = HEARTBEAT_TIMEOUT_MILLIS * (1 + exchangeIntervalFactor) / 2
+
+    /** VMs that have restarted or ceased to be [live] within the last [LOST_MILLIS], the latest first. */
+    val lost: List<VmRecord>
+        @Synchronized get() {
+            val now = clock.millis()
+            return known.values
+                .associateWith { if (it.isLive(now, heartbeatTimeoutMillis)) it.restartedAt else it.heardAt }
+                .filterValues { it != null && now - it < LOST_MILLIS }
+                .entries.sortedByDescending { it.value }
+                .map { it.key.record }
+        }
+
     /** This VM and the live ones that are [eligible], in an order that differs by [name] (rendezvous hashing). */
     fun ordered(name: String, eligible: (VmRecord) -> Boolean = { true }): List<VmRecord> =
         (live().filter(eligible) + self).sortedBy { "$name/${it.name}".hashCode() * HASH_MULTIPLIER }
@@ -95,10 +116,7 @@
     @Synchronized
     fun live(): List<VmRecord> {
         val now = clock.millis()
-        val timeout = HEARTBEAT_TIMEOUT_MILLIS * (1 + exchangeIntervalFactor) / 2
-        return known.values
-            .filter { now - it.heardAt < timeout && it.refusedHeartbeat != it.record.heartbeat }
-            .map { it.record }
+        return known.values.filter { it.isLive(now, heartbeatTimeoutMillis) }.map { it.record }
     }
 
     /**
@@ -134,6 +152,9 @@
         /** A heartbeat spreads within about two exchanges of 500 ms each; the timeout is about twice that. */
         const val HEARTBEAT_TIMEOUT_MILLIS = 2_500L
 
+        /** Longer than callers return with requests that they sent to a VM. */
+        const val LOST_MILLIS = ServiceVersions.MEMORY_MILLIS
+
         /** Records of this many VMs fit into a few kilobytes. */
         const val SMALL_FLEET_VMS = 24
 
--- a/core/src/main/kotlin/fireflyhinge/forward/StreamOrigins.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/StreamOrigins.kt
@@ -10,6 +10,7 @@
     /** Oldest first. */
     private val entries = LinkedHashMap<String, Entry>()
     private val untold = LinkedHashMap<String, StreamOrigin>()
+    private val uncopied = LinkedHashMap<String, StreamOrigin>()
 
     /** Number of streams that became known. */
     var count = 0L
@@ -22,7 +23,9 @@
     /** Records that this VM forwards the first event of stream [id], before it does. */
     @Synchronized
     fun began(id: String, origin: StreamOrigin) {
-        if (add(id, origin)) untold[id] = origin
+        if (!add(id, origin)) return
+        untold[id] = origin
+        uncopied[id] = origin
     }
 
     /** Takes up what another VM told, or what the store has. What is known of a stream never changes. */
@@ -48,6 +51,14 @@
         return taken
     }
 
+    /** Returns and forgets what was not copied to other VMs yet, of streams that no other VM was told of. */
+    @Synchronized
+    fun takeUncopied(): Map<String, StreamOrigin> {
+        val taken = uncopied.filterKeys { it in untold }
+        uncopied.clear()
+        return taken
+    }
+
     private fun Map<String, StreamOrigin>.of(wanted: (String) -> Boolean): Map<String, StreamOrigin> {
         val services = values.map { it.service }.toSet().filter(wanted).toSet()
         return if (services.isEmpty()) emptyMap() else filterValues { it.service in services }
@@ -67,6 +78,7 @@
         val removed = (old + excess).toSet()
         entries.keys -= removed
         untold.keys -= removed
+        uncopied.keys -= removed
     }
 
     private companion object {
--- a/core/src/test/kotlin/fireflyhinge/forward/FleetViewTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/FleetViewTest.kt
@@ -90,4 +90,21 @@
         clock.advance(3_000)
         assertEquals(emptyMap<String, Long>(), fleet.remoteTokens())
     }
+
+    /** Guards against asking only the VMs that run for what a VM that was lost has told others. */
+    @Test
+    fun vmsThatWereLostAreKnownForAMinute() {
+        fleet.merge(listOf("silent", "refusing", "restarted", "sound").map { vm(it, "north") })
+        fun lost() = fleet.lost.map { it.name }.toSet()
+        assertEquals(emptySet<String>(), lost())
+        fleet.connectionRefused("refusing")
+        val restarted = vm("restarted", "north").copy(startedAt = 2)
+        fleet.merge(listOf(restarted))
+        assertEquals(setOf("refusing", "restarted"), lost())
+        clock.advance(3_000)
+        fleet.merge(listOf(restarted.copy(heartbeat = 2), vm("sound", "north", heartbeat = 2)))
+        assertEquals(setOf("refusing", "restarted", "silent"), lost())
+        clock.advance(59_000)
+        assertEquals(setOf("restarted", "sound"), lost())
+    }
 }
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/Gateway.kt
@@ -277,6 +277,7 @@
         io.scope.launch { versionHistory.run() }
         io.scope.launch { originStore.run() }
         io.scope.launch { originExchange.run() }
+        io.scope.launch { originExchange.runCopies() }
         io.scope.launch { coldMonitor.run() }
         io.scope.launch { LoadBroadcaster(io.scope, updates, domains, peers, table).run() }
         log.atInfo().addKeyValue("vm", settings.vm).addKeyValue("front", settings.front).log("started")
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StreamOriginExchange.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StreamOriginExchange.kt
@@ -15,8 +15,10 @@
 import java.io.IOException
 
 /**
- * Tells a few other VMs at which software version this VM's streams began, while a service has several versions, and
- * asks them for streams that a caller continues here. For each stream they are the first of a rendezvous hash.
+ * Tells a few other VMs at which software version this VM's streams began, and asks them for streams that a caller
+ * continues here. While a service has several versions, they are the first of a rendezvous hash for each stream. With
+ * one version, nobody has to ask; but this VM may be lost before it learns of a second one. So the same few VMs get
+ * copies for all of its streams, in fewer messages.
  */
 internal class StreamOriginExchange(
     private val origins: StreamOrigins,
@@ -47,11 +49,19 @@
                 .forEach { (vm, ids) -> scope.launch { tell(vm, ids.associateWith(untold::getValue)) } }
         }
 
+    /** Copies new streams to other VMs until cancelled. */
+    suspend fun runCopies(): Nothing =
+        repeatForever(log, "copying where streams began") {
+            delay(COPY_MILLIS)
+            val begun = origins.takeUncopied()
+            if (begun.isNotEmpty()) recorders.ofSelf(HOLDERS).forEach { vm -> scope.launch { tell(vm, begun) } }
+        }
+
     /** Where stream [id] of a caller began, as far as this VM and those that it asks know. */
     suspend fun find(id: String): Finding {
         val loaded = stored.awaitLoaded()
         origins.find(id)?.let { return Finding(it, complete = true) }
-        val asked = recorders.othersOf(id, MAX_ASKED)
+        val asked = recorders.knowing(id, MAX_ASKED)
         return coroutineScope {
             val answers = Channel<Finding>(asked.size)
             asked.forEach { vm -> launch { answers.send(ask(vm, id)) } }
@@ -99,6 +109,9 @@
         /** Streams that begin within this time are told together; callers need longer to come back. */
         private const val BATCH_MILLIS = 100L
 
+        /** Streams that begin within this time before a VM is lost may be lost with it. */
+        private const val COPY_MILLIS = 500L
+
         /** Time after which the first stream for a while is noticed. */
         private const val IDLE_MILLIS = 300L
 
