Cut the stored tokens of a quota share when its depth falls

Cause: QuotaShare compared its level with its depth only while it added tokens. When the depth fell, the level stayed.

Evidence: QuotaHoldersTest#tokensOfAFormerLimitAreNotSpent fails before the change (253,500 tokens in a window, 169,500 allowed). It applies the limit to all VMs at once, so a late configuration is ruled out. At a first start the VM that saw a fleet of one was credited with the whole depth and kept it; that is the same cause, and the table has both kinds of start.

Change: QuotaShare.resize cuts the level when the depth of a share that is held falls. What a VM that holds none has left is repaid and dropped as before.

Why it works: the bound of docs/design/quota-shares.md counts at most the depth in force in each bucket, and now that is so.

--- a/core/src/main/kotlin/fireflyhinge/forward/QuotaShare.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/QuotaShare.kt
@@ -4,10 +4,17 @@
  * Token bucket with this VM's share of the rate and depth of one workspace's limit. Not thread-safe; times are
  * monotonic milliseconds.
  */
-internal class QuotaShare(var rate: Double, var depth: Double, level: Double, private var updatedAt: Long) {
+internal class QuotaShare(var rate: Double, depth: Double, level: Double, private var updatedAt: Long) {
     var level: Double = level
         private set
 
+    /** Most tokens that accrue; 0 while this VM holds no share. */
+    var depth: Double = depth
+        private set
+
+    /** Depth of the last share that this VM held. */
+    private var heldDepth = depth
+
     /** Time until which [rate] holds. */
     var rateUntil = Long.MAX_VALUE
 
@@ -31,6 +38,17 @@
         return true
     }
 
+    /**
+     * Sets the depth to [newDepth], 0 if this VM holds no share. Tokens that were stored under a greater depth are lost
+     * beyond the new one: either the limit was lowered, or other VMs hold a part of it that this one held.
+     */
+    fun resize(newDepth: Double) {
+        depth = newDepth
+        if (newDepth == 0.0) return
+        if (newDepth < heldDepth) level = minOf(level, newDepth)
+        heldDepth = newDepth
+    }
+
     /** Adds tokens that were taken before, here or on another VM; they may exceed the depth. */
     fun add(tokens: Double) {
         level += tokens
--- a/core/src/main/kotlin/fireflyhinge/forward/QuotaShares.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/QuotaShares.kt
@@ -114,7 +114,7 @@
         share.hold(fraction > 0, reserve(workspace), now)
         share.rate = workspace.limit.ratePerSecond * fraction
         share.rateUntil = until
-        share.depth = depth
+        share.resize(depth)
         if (name !in credited) {
             val whole = depths.startCredit(workspace.limit)
             val credit = if (firstStart) depth.takeIf { it > 0 } else startCredit()?.let { whole * it }
--- a/core/src/test/kotlin/fireflyhinge/forward/QuotaFleetSimulation.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/QuotaFleetSimulation.kt
@@ -12,7 +12,7 @@
 internal class QuotaFleetSimulation(
     size: Int,
     private val bounds: QuotaBounds,
-    private val workspaces: List<ForwardWorkspace>,
+    var workspaces: List<ForwardWorkspace>,
     private val random: Random,
     private val fixed: Boolean = false,
 ) {
--- a/core/src/test/kotlin/fireflyhinge/forward/QuotaHoldersTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/QuotaHoldersTest.kt
@@ -109,6 +109,43 @@
         assertTrue(counts.getValue(Answer.OVER_LIMIT) > 800, "$counts")
     }
 
+    /** Guards against tokens that were stored under a limit and are spent after it was lowered. */
+    @Test
+    fun tokensOfAFormerLimitAreNotSpent() {
+        val limits = 100_000.0 to 5_000.0
+        listOf(
+            "lowered" to listOf(limits.first, limits.second),
+            "raised, then lowered" to listOf(limits.second, limits.first, limits.second),
+            "lowered twice" to listOf(limits.first, limits.first / 2, limits.second),
+            "removed, then added with a lower limit" to listOf(limits.first, null, limits.second),
+            "without a limit for a while" to listOf(limits.first, 0.0, limits.second),
+        ).forEach { (what, rates) ->
+            listOf(true, false).forEach { firstStart ->
+                val last = workspace("a", limits.second)
+                val fleet = playLimits(rates, firstStart)
+                repeat(700) {
+                    fleet.step()
+                    fleet.up.values.forEach { vm -> fleet.charge(vm, last, 5_070.0) }
+                }
+                val most = fleet.most(last).first
+                val text = "$what, first start $firstStart: $most of ${allowed(last.limit)}"
+                assertTrue(most <= allowed(last.limit), text)
+                assertTrue(most >= limits.second * 7, text)
+            }
+        }
+    }
+
+    /** A fleet without requests in which each of [rates] was in force for 15 s; null stands for no such workspace. */
+    private fun playLimits(rates: List<Double?>, firstStart: Boolean): QuotaFleetSimulation {
+        val fleet = QuotaFleetSimulation(8, bounds, emptyList(), Random(1))
+        fleet.names.forEach { fleet.start(it, firstStart) }
+        for (rate in rates) {
+            fleet.workspaces = listOfNotNull(rate?.let { workspace("a", it) })
+            repeat(1_500) { fleet.step() }
+        }
+        return fleet
+    }
+
     /** Guards against shares that are lost for good with a VM that does not come back. */
     @Test
     fun sharesOfVmsThatAreDownAreHeldByOthers() {
