Begin the shares of substitutes at the first start without tokens

What callers saw: nothing was reported. In a fleet of more than eight VMs whose holders are killed, a workspace can get more in a window than its limit allows, and those beside it less (QUOTA).

Cause: QuotaShares credits each share with its whole depth at the first start of the fleet, when it is first held. A VM that replaces a holder much later was credited too, although the holder had spent its own part.

Holders of a workspace that is added later still begin with full buckets.

--- a/core/src/main/kotlin/fireflyhinge/forward/QuotaShares.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/QuotaShares.kt
@@ -116,8 +116,14 @@
         share.rateUntil = until
         share.resize(depth)
         if (name !in credited) {
-            val whole = depths.startCredit(workspace.limit)
-            val credit = if (firstStart) depth.takeIf { it > 0 } else startCredit()?.let { whole * it }
+            val credit =
+                when {
+                    !firstStart -> startCredit()?.let { depths.startCredit(workspace.limit) * it }
+                    depth > 0 -> depth
+                    // A VM that replaces a holder later begins without tokens, since the holder may have spent its own.
+                    now - startedAt > QuotaHolders.FIRST_START_MILLIS -> 0.0
+                    else -> null
+                }
             credit?.let { share.add(it) }
             if (credit != null) credited += name
         }
--- a/core/src/test/kotlin/fireflyhinge/forward/QuotaHoldersTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/QuotaHoldersTest.kt
@@ -146,6 +146,25 @@
         return fleet
     }
 
+    /** Guards against substitutes that begin with the tokens that the holders before them have spent. */
+    @Test
+    fun substitutesOfTheFirstStartDoNotBeginWithFullShares() {
+        val workspace = workspace("a", 100_000.0)
+        val fleet = QuotaFleetSimulation(16, bounds, listOf(workspace), Random(1))
+        fleet.names.forEach { fleet.start(it, firstStart = true) }
+        repeat(2_000) { fleet.step() }
+        val spend = {
+            fleet.step()
+            fleet.up.values.forEach { vm -> repeat(2) { fleet.charge(vm, workspace, 5_270.0) } }
+        }
+        repeat(50) { spend() }
+        fleet.up.values.first().fleet.quotaHolders("a").forEach { fleet.kill(it) }
+        repeat(750) { spend() }
+        val most = fleet.most(workspace).first
+        assertTrue(most <= allowed(workspace.limit), "$most of ${allowed(workspace.limit)}")
+        assertTrue(most >= workspace.limit.ratePerSecond * 8 * 0.8, "only $most")
+    }
+
     /** Guards against shares that are lost for good with a VM that does not come back. */
     @Test
     fun sharesOfVmsThatAreDownAreHeldByOthers() {
