--- a/core/src/main/kotlin/fireflyhinge/forward/Admission.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/Admission.kt
@@ -21,8 +21,9 @@
             val route = config.table.find(host, uri) ?: return Outcome.Failure(ResultCode.UNKNOWN_ROUTE)
             if (route.isPublic) return located(Admission(route, workspace = null, config.version))
             val key = metadata.key ?: return Outcome.Failure(ResultCode.KEY_ABSENT)
-            val owner = config.keys[key]?.let { config.workspaces[it] }
-            owner ?: return Outcome.Failure(ResultCode.KEY_UNKNOWN)
+            val name = config.keys[key]
+            if (name in config.invalidWorkspaces) return Outcome.Failure(ResultCode.WORKSPACE_INVALID)
+            val owner = config.workspaces[name] ?: return Outcome.Failure(ResultCode.KEY_UNKNOWN)
             return located(Admission(route, owner, config.version))
         }
 
--- a/core/src/main/kotlin/fireflyhinge/forward/ForwardConfig.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/ForwardConfig.kt
@@ -5,6 +5,7 @@
  *
  * @property version increases with each change.
  * @property keys API keys mapped to workspace names.
+ * @property invalidWorkspaces names of the workspaces that are left out of [workspaces].
  */
 data class ForwardConfig(
     val version: Long,
@@ -13,6 +14,7 @@
     val workspaces: Map<String, ForwardWorkspace>,
     val keys: Map<String, String>,
     val limits: CallerLimits = CallerLimits(),
+    val invalidWorkspaces: Set<String> = emptySet(),
 ) {
     /** Routes by host and prefix. */
     val table: RouteTable = RouteTable(routes)
--- a/core/src/main/kotlin/fireflyhinge/result/ResultCode.kt
+++ b/core/src/main/kotlin/fireflyhinge/result/ResultCode.kt
@@ -64,6 +64,7 @@
     CHANGE_UNCONFIRMED(7007, 504, UNKNOWN, "The store did not confirm the change; read the object first."),
     VM_UNREACHABLE(7008, 503, NOT_RUN, "The VM that the operator named does not answer."),
     CONFIGURATION_UNKNOWN(7009, 503, NOT_RUN, "This VM has not read the configuration yet; use another address."),
+    WORKSPACE_INVALID(7010, 503, NOT_RUN, "The name of the workspace cannot be sent to upstreams."),
     SETTING_INVALID(8001, 500, NOT_RUN, "A setting has a value that is not allowed."),
     SETTING_MISSING(8002, 500, NOT_RUN, "A required setting is missing."),
     INTERNAL(9001, 500, UNKNOWN, "An internal error occurred."),
--- a/core/src/test/kotlin/fireflyhinge/forward/ForwardAdmissionTest.kt
+++ b/core/src/test/kotlin/fireflyhinge/forward/ForwardAdmissionTest.kt
@@ -14,7 +14,8 @@
             routes = listOf(route("short", "/a/"), route("long", "/a/b/"), open),
             services = emptyMap(),
             workspaces = mapOf("w" to workspace),
-            keys = mapOf("key" to "w", "orphan" to "nobody"),
+            keys = mapOf("key" to "w", "orphan" to "nobody", "misnamed" to "w\n"),
+            invalidWorkspaces = setOf("w\n"),
         )
 
     private fun route(name: String, prefix: String) =
@@ -36,6 +37,7 @@
             Case("no key", "shop.example", "/a/x", null, ResultCode.KEY_ABSENT),
             Case("unknown key", "shop.example", "/a/x", "no", ResultCode.KEY_UNKNOWN),
             Case("key without workspace", "shop.example", "/a/x", "orphan", ResultCode.KEY_UNKNOWN),
+            Case("invalid workspace", "shop.example", "/a/x", "misnamed", ResultCode.WORKSPACE_INVALID),
         ).forEach { case ->
             val result =
                 when (val admitted = Admission.of(config, case.host, case.uri, facts(case.key))) {
