Send request targets with the bytes of the caller

What callers saw: nothing was reported. A request whose path or query has bytes beyond ASCII ran with another target at the replica (UNASKED): each such byte became two.

Cause: the decoder of the HTTP library reads a target with one byte a character, and its encoder writes it in UTF-8.

Evidence: HeaderBytesTest#aTargetBeyondAsciiIsPassedOnUnchanged fails before the change ('/order/café' arrives with four bytes for the last letter).

Change: RequestEncoder writes the first line with one byte a character.

Measured: the four tests of HeaderBytesTest pass, and those of PlainCallTest, ModelCallTest and StoreWatchTest.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/http/ConnectionPool.kt
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpRequestEncoder
 import java.net.ConnectException
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
@@ -111,7 +110,7 @@
 
     private class Codec : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
-            channel.pipeline().addLast(ResponseDecoder(), HttpRequestEncoder())
+            channel.pipeline().addLast(ResponseDecoder(), RequestEncoder())
         }
     }
 
