Ask other VMs where a stream began before the own list decides

Cause: a VM whose list showed one version continued any stream at it and asked nobody. Its list counts for 3 s, since others begin streams at a new version only 3 s after they saw it. A VM that starts does not wait: it takes the versions in its first list for known to all.

Evidence: OutOfStepVmTest#aVmThatIsCutOffFromTheStoreDoesNotJoinStreamsOfAVmThatStarts fails before the change (7 of 8 streams joined). The second test there, where all replicas of the older version leave at once, passed before in its one run. A VM that stands still is ruled out by SoftwareVersionFaultTest#aVmThatWasFrozenDoesNotTrustAnEarlierList, which passed before.

Change: StreamVersionGuard asks first. What another VM was told goes before the list, and the list counts only if most of the VMs that were asked replied or do not run.

Why it works: a stream is told to three VMs within 0.3 s, with one version as well, so a VM that hears the others need not conclude anything, and one that does not hear them does not.

Measured: OutOfStepVmTest (2), SoftwareVersionTest (8) and SoftwareVersionFaultTest (6) pass.

--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StreamOriginExchange.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StreamOriginExchange.kt
@@ -4,6 +4,7 @@
 import fireflyhinge.forward.StreamOrigin
 import fireflyhinge.forward.StreamOrigins
 import fireflyhinge.forward.VmRecord
+import fireflyhinge.gateway.http.ConnectFailedException
 import fireflyhinge.gateway.repeatForever
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.cancelChildren
@@ -32,9 +33,12 @@
      * Where a stream began, or null. If not [complete], a VM that may know was not heard.
      *
      * @property asked number of other VMs that were asked.
-     * @property heard number of them that replied.
+     * @property heard number of them that replied, or do not run.
      */
-    class Finding(val origin: StreamOrigin?, val complete: Boolean, val asked: Int = 0, val heard: Int = 0)
+    class Finding(val origin: StreamOrigin?, val complete: Boolean, val asked: Int = 0, val heard: Int = 0) {
+        /** Whether most of the VMs that may know were heard, so that this VM is not cut off from the others. */
+        val connected: Boolean get() = heard * 2 > asked || asked == 0
+    }
 
     private val log = LoggerFactory.getLogger(javaClass)
 
@@ -73,7 +77,7 @@
                 origin,
                 complete = loaded && asked.isNotEmpty() && findings.all { it.complete },
                 asked = asked.size,
-                heard = findings.count { it.complete },
+                heard = findings.sumOf { it.heard },
             )
         }
     }
@@ -95,12 +99,18 @@
     private suspend fun ask(vm: VmRecord, id: String): Finding =
         try {
             val reply = peers.post(vm.control, ASK_PATH, StreamOriginCodec.encodeIds(listOf(id)))
-            Finding(StreamOriginCodec.decode(reply)[id], complete = true)
+            Finding(StreamOriginCodec.decode(reply)[id], complete = true, heard = 1)
+        } catch (e: ConnectFailedException) {
+            if (e.refused) Finding(origin = null, complete = false, heard = 1) else notHeard(vm, e)
         } catch (e: IOException) {
-            log.debug("asking VM {} where a stream began failed: {}", vm.name, e.message)
-            Finding(origin = null, complete = false)
+            notHeard(vm, e)
         }
 
+    private fun notHeard(vm: VmRecord, cause: IOException): Finding {
+        log.debug("asking VM {} where a stream began failed: {}", vm.name, cause.message)
+        return Finding(origin = null, complete = false)
+    }
+
     companion object {
         /** Paths of the control interface. */
         const val TELL_PATH = "/peer/v1/stream-origins"
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamVersionGuard.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/forward/StreamVersionGuard.kt
@@ -39,12 +39,17 @@
         return Outcome.Failure(ResultCode.NO_UPSTREAM, "No upstream of the version that began the stream is left.")
     }
 
+    /**
+     * Finds where the stream began: what this VM or another one was told goes before what this VM's list shows, which
+     * may be behind.
+     */
     private suspend fun find(context: RequestContext): StreamOriginExchange.Finding {
-        val first = context.metadata.resumedRequestId
-        val known =
-            first?.let { origins.find(it) }
-                ?: versions.only(context.service)?.let { StreamOrigin(context.service, it) }
-        return if (known == null && first != null) ask(first) else StreamOriginExchange.Finding(known, complete = true)
+        val only = versions.only(context.service)?.let { StreamOrigin(context.service, it) }
+        val id = context.metadata.resumedRequestId ?: return StreamOriginExchange.Finding(only, complete = true)
+        origins.find(id)?.let { return StreamOriginExchange.Finding(it, complete = true) }
+        val finding = ask(id)
+        if (finding.origin != null || only == null || !finding.connected) return finding
+        return StreamOriginExchange.Finding(only, finding.complete, finding.asked, finding.heard)
     }
 
     /** Whether no decode replica is listed at the version that began the stream of [context]. */
