Confirm a copy for another VM only since the call that confirmed it

What callers saw: nothing was reported.

Cause: VMs tell each other how old the response is that confirmed their copy, and an equal copy of another VM took that for the age of the call too. A response may have waited in a frozen VM or on a slow link, and the list by which software versions are judged then passes for newer than it is.

Evidence: CopyCertaintyTest#aConfirmationOfAnotherVmIsAsOldAsItsCall fails before the change (6 ms instead of 3 s or more).

Change: the messages also state certain_age_ms; only that confirms the certainty of a copy. A build without the field confirms none, so versions are then told and asked for more often.

Measured: tests of copies, eras and software versions pass.

--- a/core/src/main/kotlin/fireflyhinge/forward/CopyFreshness.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/CopyFreshness.kt
@@ -44,10 +44,13 @@
      */
     val certainAgeMillis: Long? @Synchronized get() = certain.millis
 
-    /** Records that a response [ageMillis] ago, to a call [callMillis] ago, showed that the copy lacks no change. */
+    /**
+     * Records that a response [ageMillis] ago, to a call [callMillis] ago, showed that the copy lacks no change;
+     * [callMillis] is null if that is unknown.
+     */
     @Synchronized
-    fun confirm(ageMillis: Long = 0, callMillis: Long = ageMillis) {
-        certain.confirm(callMillis)
+    fun confirm(ageMillis: Long = 0, callMillis: Long? = ageMillis) {
+        callMillis?.let(certain::confirm)
         if (responded.confirm(ageMillis)) limitMillis = random.nextLong(MIN_OTHERS_AGE_MILLIS, MAX_AGE_MILLIS)
     }
 
--- a/core/src/main/kotlin/fireflyhinge/forward/CopyVersion.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/CopyVersion.kt
@@ -6,6 +6,7 @@
  * @property revision revision of the copy.
  * @property digest digest of the objects, equal for copies with the same objects; empty if unknown.
  * @property ageMillis time since these were known to be all objects in the store; null if unknown.
+ * @property certainAgeMillis the same, since the call that showed it; null if unknown, or from a build without it.
  * @property era era of the store that [revision] belongs to; 0 for a store, or a build, without eras.
  */
 data class CopyVersion(
@@ -13,6 +14,7 @@
     val digest: String = "",
     val ageMillis: Long? = null,
     val era: Long = 0,
+    val certainAgeMillis: Long? = null,
 ) {
     /** Whether this copy is newer than [other]: by era, since revisions go back with each restore, then by revision. */
     fun newerThan(other: CopyVersion): Boolean = era > other.era || era == other.era && revision > other.revision
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CopyComparison.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CopyComparison.kt
@@ -32,7 +32,7 @@
      */
     fun compare(own: CopyVersion, theirs: CopyVersion, callMillis: Long, cutOff: Boolean): CopyAction {
         if (own.digest.isNotEmpty() && theirs.digest == own.digest && theirs.era == own.era) {
-            theirs.ageMillis?.let { freshness.confirm(it + callMillis) }
+            theirs.ageMillis?.let { freshness.confirm(it + callMillis, theirs.certainAgeMillis?.plus(callMillis)) }
             return CopyAction.NONE
         }
         if (theirs.conflictsWith(own)) return resolveConflict(own, theirs.ageMillis?.plus(callMillis), cutOff)
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CopyVersionCodec.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/CopyVersionCodec.kt
@@ -26,7 +26,8 @@
         if (confirmed.isEmpty()) return
         val list = root.putObject("confirmed")
         confirmed.forEach { (kind, copy) ->
-            list.putObject(kind.name).put("digest", copy.digest).put("age_ms", copy.ageMillis)
+            val node = list.putObject(kind.name).put("digest", copy.digest).put("age_ms", copy.ageMillis)
+            copy.certainAgeMillis?.let { node.put("certain_age_ms", it) }
         }
     }
 
@@ -37,6 +38,7 @@
                 revision = root.path("revisions").path(kind.name).longIn(REVISIONS) ?: 0,
                 digest = confirmed.path("digest").textOrNull().orEmpty(),
                 ageMillis = confirmed.path("age_ms").longIn(0..MAX_AGE_MILLIS),
+                certainAgeMillis = confirmed.path("certain_age_ms").longIn(0..MAX_AGE_MILLIS),
                 // A build without eras does not send them.
                 era = root.path("eras").path(kind.name).longIn(REVISIONS) ?: 0,
             )
--- a/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
+++ b/gateway/src/main/kotlin/fireflyhinge/gateway/fleet/StoreMirror.kt
@@ -58,7 +58,15 @@
     val certainAgeMillis: Long? get() = freshness.certainAgeMillis
 
     /** State of the copy, for other VMs. */
-    val version: CopyVersion get() = CopyVersion(state.revision, state.digest, freshness.ageMillis, state.era)
+    val version: CopyVersion
+        get() =
+            CopyVersion(
+                state.revision,
+                state.digest,
+                freshness.ageMillis,
+                state.era,
+                freshness.certainAgeMillis,
+            )
 
     /** Watches the store until cancelled. */
     suspend fun run(): Nothing = repeatForever(log, "following $kind") { read() }
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/CopyCertaintyTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/CopyCertaintyTest.kt
@@ -49,6 +49,20 @@
         assertTrue(age >= LATE_MILLIS) { "$age ms" }
     }
 
+    /** Guards against a VM that confirms the copy of another one later than the store confirmed its own. */
+    @Test
+    fun aConfirmationOfAnotherVmIsAsOldAsItsCall() {
+        val changes = CountDownLatch(2)
+        val late = StoreMirror(StoreObjectKind.REPLICAS, LateStore(), scope) { changes.countDown() }
+        val mirror = StoreMirror(StoreObjectKind.REPLICAS, StubStore(), scope) {}
+        scope.launch { late.run() }
+        assertTrue(changes.await(2 * LATE_MILLIS, TimeUnit.MILLISECONDS))
+        mirror.adopt(late.state.listing(), "late")
+        mirror.compare(late.version)
+        val age = checkNotNull(mirror.certainAgeMillis)
+        assertTrue(age >= LATE_MILLIS) { "$age ms" }
+    }
+
     private companion object {
         const val LATE_MILLIS = 3_000L
     }
--- a/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
+++ b/gateway/src/test/kotlin/fireflyhinge/gateway/fleet/PeerMessagesTest.kt
@@ -126,7 +126,7 @@
     fun theEraOfACopyIsPassedOn() {
         val copies =
             StoreObjectKind.entries.associateWith { CopyVersion(4) } +
-                (StoreObjectKind.REPLICAS to CopyVersion(3, "a1", ageMillis = 9, era = 2))
+                (StoreObjectKind.REPLICAS to CopyVersion(3, "a1", ageMillis = 9, era = 2, certainAgeMillis = 12))
         val encoded = PeerMessages.encode(PeerStateMessage(emptyList(), copies))
         assertEquals(copies, PeerMessages.exchange(encoded).copies)
         val listing = StoreReadResult.Listing(listOf(StoreItem("a", 3, "{}")), 4, era = 2)
