Cut a share's tokens also where its whole depth is taken away

QuotaShare.resize took a depth of 0 for a share that this VM does not hold. A held share has that depth where a limit has neither a burst nor a tolerated excess; its tokens of a former limit then stayed. Whether the share is held is now passed on.

Found by reading the change; no deployment has such bounds. Measured: the tests of quotas pass.

--- a/core/src/main/kotlin/fireflyhinge/forward/QuotaShare.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/QuotaShare.kt
@@ -39,12 +39,13 @@
     }
 
     /**
-     * Sets the depth to [newDepth], 0 if this VM holds no share. Tokens that were stored under a greater depth are lost
-     * beyond the new one: either the limit was lowered, or other VMs hold a part of it that this one held.
+     * Sets the depth to [newDepth]. Tokens that were stored under a greater depth are lost beyond the new one: either
+     * the limit was lowered, or other VMs hold a part of it that this one held. If the share is not [held] any more,
+     * [hold] decides on what is left.
      */
-    fun resize(newDepth: Double) {
+    fun resize(newDepth: Double, held: Boolean) {
         depth = newDepth
-        if (newDepth == 0.0) return
+        if (!held) return
         if (newDepth < heldDepth) level = minOf(level, newDepth)
         heldDepth = newDepth
     }
--- a/core/src/main/kotlin/fireflyhinge/forward/QuotaShares.kt
+++ b/core/src/main/kotlin/fireflyhinge/forward/QuotaShares.kt
@@ -114,7 +114,7 @@
         share.hold(fraction > 0, reserve(workspace), now)
         share.rate = workspace.limit.ratePerSecond * fraction
         share.rateUntil = until
-        share.resize(depth)
+        share.resize(depth, held = fraction > 0)
         if (name !in credited) {
             val credit =
                 when {
